--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,552 @@
+// Package policy decides every call of one exchange: admit, route, try again, turn away.
+//
+// A caller makes a Controller with New and tells it what happens: Offer for a new call, Stands and Ended for its
+// route tries, CallerLeft, Circuits, Listed, ListLost, Woken. Each may act at once through the Exchange it was given.
+// The interface, both what is told and what can be done, is in exchange.go. The module knows no wire and no clock:
+// every entry point is handed the present time. docs/design.md names each departure from the design page.
+package policy
+
+import (
+	"math"
+	"sort"
+)
+
+const (
+	reserveStart = 2 // circuits kept for the protected bearer types, the paper's best setting
+	transitExtra = 2 // and so many more must stay free behind a call over a tandem
+
+	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end at ordinary traffic
+	reportHalf = Tenths(10000) // half-life of a reported wait, a few report periods
+	offerHalf  = Tenths(80000) // half-life of traffic counts, longer than any burst between two calls
+	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
+	spread     = 1.3           // deviations above the mean: about the ninth decile of answer times
+
+	shedFrom = 0.30 // of the GoS target: an expected answer this late starts shedding
+	shedAll  = 0.90 // and this late leaves only what the trickle below lets through
+
+	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
+	coldFloor = 1.0  // set-ups a second towards a cold switch when nothing is known of its traffic
+)
+
+// callState names where a call is in its life; become is the one place that changes it.
+type callState uint8
+
+const (
+	offered  callState = iota // taken, nothing sent
+	trying                    // one route try out
+	resting                   // waiting out the release time
+	standing                  // the call stands
+	over                      // final answer given, or the caller has left
+)
+
+type call struct {
+	ask       Call
+	state     callState
+	gosAt     Tenths // full revenue until then
+	abandonAt Tenths
+	tries     int
+	far       int // index of the switch of the present try
+	tandem    bool
+	rounds    int // tries over a tandem so far
+	sentAt    Tenths
+	readyAt   Tenths // no send before: the release time of the last try
+}
+
+// bearerRow is what the module reads of a bearer type.
+type bearerRow struct {
+	protected bool
+	gosTarget Tenths
+	rank      [2]int // place in the order of revenue, for a first call and for a redial
+	pools     []int
+}
+
+// pending is a route try sent and perhaps not answered yet.
+type pending struct {
+	id     uint32
+	sentAt Tenths
+}
+
+// farEnd is one switch and the group of circuits towards it.
+type farEnd struct {
+	id         uint32
+	number     int
+	ready      bool
+	bootAt     Tenths
+	free, size int
+	answers    decaying // answer times of route tries
+	wait       Tenths   // last wait reported or hinted
+	holdBack   float64
+	reportedAt Tenths
+	sends      decaying
+	budget     float64 // set-ups a cold switch may still be sent
+	budgetAt   Tenths
+	waiting    []pending
+}
+
+// Controller decides for one exchange.
+type Controller struct {
+	d        Deployment
+	out      Exchange
+	rows     []bearerRow
+	chance   uint64
+	far      []farEnd
+	byID     map[uint32]int
+	serving  map[int]int // number of an exchange or pool: index of the switch that serves it now
+	tandems  map[int]int // destination: index of the tandem remembered
+	offers   decaying
+	ranks    []decaying // offered calls by place in the order of revenue
+	calls    map[uint32]*call
+	followIn Tenths
+	protects bool
+}
+
+const followToken = math.MaxUint64
+
+// New returns a controller at the moment its process starts.
+func New(d Deployment, out Exchange, now Tenths) *Controller {
+	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
+		serving: map[int]int{}, tandems: map[int]int{}, calls: map[uint32]*call{}}
+	c.rankBearers()
+	if d.ListAsked {
+		c.out.Follow()
+	}
+	return c
+}
+
+// rankBearers orders bearer types and their redials by what a call still earns, and protects the dearest types.
+// A redial mostly comes after the GoS target of its first try, so it is worth the late share.
+func (c *Controller) rankBearers() {
+	var values []float64
+	dearest := 0.0
+	for _, b := range c.d.Bearers {
+		values = append(values, b.Revenue, b.Revenue*b.LateShare)
+		dearest = max(dearest, b.Revenue)
+	}
+	sort.Sort(sort.Reverse(sort.Float64Slice(values)))
+	for _, b := range c.d.Bearers {
+		row := bearerRow{protected: b.Revenue == dearest, gosTarget: b.GoSTarget, pools: b.Pools}
+		for i, v := range []float64{b.Revenue, b.Revenue * b.LateShare} {
+			row.rank[i] = sort.Search(len(values), func(j int) bool { return values[j] <= v })
+		}
+		c.rows = append(c.rows, row)
+	}
+	c.ranks = make([]decaying, len(values))
+}
+
+// Offer takes a call; it reports false for a bearer type that the deployment does not have.
+func (c *Controller) Offer(now Tenths, ask Call) bool {
+	if ask.Bearer < 0 || ask.Bearer >= len(c.rows) {
+		return false
+	}
+	k := &call{ask: ask, gosAt: now + c.rows[ask.Bearer].gosTarget, abandonAt: now + ask.TTL}
+	c.calls[ask.ID] = k
+	if !ask.Transit {
+		c.offers.add(now, offerHalf, 1)
+		c.ranks[c.rank(k)].add(now, offerHalf, 1)
+	}
+	c.place(now, k)
+	return true
+}
+
+// place is the ordinary path of a call: direct, else over one tandem, else turned away.
+func (c *Controller) place(now Tenths, k *call) {
+	dest, known := c.serving[k.ask.Dest]
+	if !known || now >= k.abandonAt {
+		c.giveUp(now, k, 0)
+		return
+	}
+	if !c.worthTheWork(now, k, dest) {
+		c.giveUp(now, k, c.d.ComeBackMost)
+		return
+	}
+	spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
+	direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
+	if k.ask.Transit {
+		direct = spare >= reserveStart+transitExtra
+	}
+	if direct && k.rounds == 0 && c.send(now, k, dest, k.gosAt-now) {
+		return
+	}
+	if k.ask.Transit { // to its destination or back
+		c.giveUp(now, k, 0)
+		return
+	}
+	for k.rounds < 2 && now < k.gosAt {
+		t, ok := c.tandems[k.ask.Dest]
+		if !ok || !c.tandemFits(now, k, t, dest) {
+			if t, ok = c.drawTandem(now, k, dest); !ok {
+				break
+			}
+			c.tandems[k.ask.Dest] = t
+		}
+		k.rounds++
+		limit := k.gosAt - now
+		if again := (limit - c.d.ReleaseTime) / 2; k.rounds == 1 && again > 2*c.expects(now, &c.far[t]) {
+			limit = again // leaves room for the release and another tandem
+		}
+		if c.send(now, k, t, limit) {
+			return
+		}
+		delete(c.tandems, k.ask.Dest)
+	}
+	c.giveUp(now, k, 0)
+}
+
+// tandemFits tells whether a switch may serve as tandem: behind the transit mark, warm and not pressed.
+func (c *Controller) tandemFits(now Tenths, k *call, t, dest int) bool {
+	f := &c.far[t]
+	if t == dest || !f.ready || f.size <= 0 || f.free-k.ask.Width < reserveStart+transitExtra || c.cold(now, f) {
+		return false
+	}
+	if c.d.Pools && !listed(c.rows[k.ask.Bearer].pools, f.number) {
+		return false
+	}
+	return c.held(now, f, k) == 0 && c.serving[f.number] == t
+}
+
+// drawTandem picks one of the fitting tandems at random.
+func (c *Controller) drawTandem(now Tenths, k *call, dest int) (int, bool) {
+	pick, seen := 0, 0
+	for t := range c.far {
+		if !c.tandemFits(now, k, t, dest) {
+			continue
+		}
+		if seen++; c.draw() < 1/float64(seen) {
+			pick = t
+		}
+	}
+	return pick, seen > 0
+}
+
+func listed(pools []int, number int) bool {
+	for _, p := range pools {
+		if p == number {
+			return true
+		}
+	}
+	return len(pools) == 0
+}
+
+// worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is let
+// through is the dearest part of the traffic, as large as the processors can still serve in time.
+func (c *Controller) worthTheWork(now Tenths, k *call, dest int) bool {
+	keep := 1 - c.held(now, &c.far[dest], k)
+	if keep >= 1 {
+		return true
+	}
+	all := c.offers.read(now, offerHalf)
+	if all <= 0 {
+		return true
+	}
+	above, own := 0.0, 0.0
+	for r := range c.ranks {
+		n := c.ranks[r].read(now, offerHalf) / all
+		if r < c.rank(k) {
+			above += n
+		} else if r == c.rank(k) {
+			own = n
+		}
+	}
+	return above+own <= keep || own > 0 && c.draw() < (keep-above)/own
+}
+
+// held is the share of new set-ups that should not go to a far end now.
+func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
+	scale := float64(c.rows[k.ask.Bearer].gosTarget)
+	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
+		scale = min(scale, 2*float64(c.d.Resend))
+	}
+	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
+	asked := f.holdBack * fade(now-f.reportedAt, reportHalf)
+	return min(1, max(0, late, asked))
+}
+
+// expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or the age of
+// the oldest try still unanswered, whichever is worst. A hung switch answers nothing, so only the last tells of it.
+func (c *Controller) expects(now Tenths, f *farEnd) Tenths {
+	worst := f.answers.quantile(now)
+	worst = max(worst, float64(f.wait)*fade(now-f.reportedAt, reportHalf))
+	for len(f.waiting) > 0 {
+		p := f.waiting[0]
+		if k := c.calls[p.id]; k != nil && k.state == trying && k.sentAt == p.sentAt && &c.far[k.far] == f {
+			worst = max(worst, float64(now-p.sentAt))
+			break
+		}
+		f.waiting = f.waiting[1:]
+	}
+	return Tenths(worst)
+}
+
+func (c *Controller) rank(k *call) int {
+	if k.ask.Redial && !k.ask.Cut {
+		return c.rows[k.ask.Bearer].rank[1]
+	}
+	return c.rows[k.ask.Bearer].rank[0]
+}
+
+// cold tells whether a switch started so lately that it may not have its full strength.
+func (c *Controller) cold(now Tenths, f *farEnd) bool {
+	return f.bootAt > 0 && now < f.bootAt+c.d.RampTime
+}
+
+// coldRoom tells whether the budget of a cold switch has room for one more set-up. This exchange's part is what it
+// sends to a fellow of the same kind, scaled by the strength a cold switch has at least; all controllers doing
+// so stay under the fall limit, which is a multiple of that strength. Refused set-ups were counted when sent.
+func (c *Controller) coldRoom(now Tenths, f *farEnd) bool {
+	if !c.cold(now, f) {
+		return true
+	}
+	total, fellows := 0.0, 0
+	for i := range c.far {
+		if g := &c.far[i]; g.ready && !c.cold(now, g) {
+			total += g.sends.rate(now, offerHalf)
+			fellows++
+		}
+	}
+	rate := max(coldFloor, total/float64(max(1, fellows)))
+	rate *= c.d.ColdFrom + (1-c.d.ColdFrom)*float64(now-f.bootAt)/float64(c.d.RampTime)
+	most := max(1, rate*coldDepth*float64(c.d.FallWindow)/10000)
+	f.budget = min(most, f.budget+rate*float64(now-f.budgetAt)/10000)
+	f.budgetAt = now
+	return f.budget >= 1
+}
+
+// send is the guard that every route try passes; it knows the five rules and tells whether the try went out.
+func (c *Controller) send(now Tenths, k *call, to int, limit Tenths) bool {
+	f := &c.far[to]
+	limit = min(limit, k.abandonAt-now)
+	switch {
+	case k.state != offered && k.state != resting: // answered, or a try is out: rules 1 and 2
+		return false
+	case !f.ready || f.number == c.d.Own || c.serving[f.number] != to: // told it drains or is gone: rule 3
+		return false
+	case k.ask.Transit && f.number != k.ask.Dest:
+		return false
+	case now < k.readyAt: // the release is awaited: rule 5
+		return false
+	case limit <= 0 || k.tries >= c.d.MaxTries || f.free < k.ask.Width:
+		return false
+	case !c.coldRoom(now, f): // rule 4
+		return false
+	}
+	if c.cold(now, f) {
+		f.budget--
+	}
+	f.sends.add(now, offerHalf, 1)
+	f.free -= k.ask.Width
+	f.waiting = append(f.waiting, pending{k.ask.ID, now})
+	k.far, k.sentAt, k.tandem = to, now, f.number != k.ask.Dest
+	k.tries++
+	c.become(k, trying)
+	c.out.Send(k.ask.ID, f.id, limit)
+	return true
+}
+
+// giveUp gives a call its final answer at once.
+func (c *Controller) giveUp(now Tenths, k *call, comeBack Tenths) {
+	c.become(k, over)
+	if now >= k.abandonAt {
+		c.out.Abort(k.ask.ID)
+		return
+	}
+	c.out.Block(k.ask.ID, comeBack)
+}
+
+// become is the one place where a call changes its state.
+func (c *Controller) become(k *call, s callState) {
+	k.state = s
+	if s == over {
+		delete(c.calls, k.ask.ID)
+	}
+}
+
+// Stands tells that a call stands.
+func (c *Controller) Stands(now Tenths, id uint32, try int) {
+	k := c.calls[id]
+	if k == nil || k.state != trying || try != k.tries-1 {
+		return
+	}
+	c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
+	c.become(k, standing)
+}
+
+// Ended tells how a route try ended; final is set when the call is over with it.
+func (c *Controller) Ended(now Tenths, id uint32, try int, sw uint32, end Ending, final bool, why Reason, wait Tenths, rep Report) {
+	i, ok := c.byID[sw]
+	if !ok {
+		return
+	}
+	f := &c.far[i]
+	c.heard(now, f, rep)
+	k := c.calls[id]
+	if k == nil || try != k.tries-1 {
+		return
+	}
+	if k.state == trying && end != Unsent && end != Released {
+		c.judge(now, k, f, end, why, wait)
+	}
+	if final || k.state == standing {
+		c.become(k, over)
+		return
+	}
+	if k.state != trying {
+		return
+	}
+	c.become(k, offered)
+	switch end {
+	case TimedOut, Cut, Cancelled:
+		k.readyAt = now + c.d.ReleaseTime
+		if k.tandem {
+			delete(c.tandems, k.ask.Dest)
+		}
+		if k.readyAt >= min(k.abandonAt, k.gosAt) { // no further try can serve this caller in time
+			c.giveUp(now, k, 0)
+			return
+		}
+		c.become(k, resting)
+		c.out.Wake(k.readyAt, uint64(id))
+	case Faulted:
+		c.giveUp(now, k, 0)
+	default: // it never ran
+		if why == ProcessorFull || why == DestFull {
+			c.giveUp(now, k, c.d.ComeBackMost)
+			return
+		}
+		if k.tandem {
+			delete(c.tandems, k.ask.Dest)
+		} else if k.rounds == 0 && end == Unsent {
+			f.free = 0
+		}
+		c.place(now, k)
+	}
+}
+
+// judge takes what a try without success tells about the processors on its way.
+func (c *Controller) judge(now Tenths, k *call, f *farEnd, end Ending, why Reason, wait Tenths) {
+	full := max(wait, c.rows[k.ask.Bearer].gosTarget)
+	switch {
+	case why == ProcessorFull:
+		f.wait, f.reportedAt = full, now
+	case why == DestFull:
+		if d, ok := c.serving[k.ask.Dest]; ok {
+			c.far[d].wait, c.far[d].reportedAt = full, now
+		}
+	case end == Unreached:
+		f.answers.add(now, answerHalf, float64(full))
+	default:
+		f.answers.add(now, answerHalf, float64(now-k.sentAt))
+	}
+}
+
+// heard takes the report that came with an answer.
+func (c *Controller) heard(now Tenths, f *farEnd, rep Report) {
+	if rep.Size >= 0 {
+		f.free, f.size = max(0, rep.Free), rep.Size
+	}
+	if rep.Wait >= 0 || rep.HoldBack >= 0 {
+		f.wait, f.holdBack, f.reportedAt = max(0, rep.Wait), max(0, rep.HoldBack), now
+	}
+}
+
+// Circuits tells the free circuits and the size of the group towards a switch.
+func (c *Controller) Circuits(now Tenths, sw uint32, rep Report) {
+	c.heard(now, &c.far[c.index(sw)], rep)
+}
+
+// CallerLeft tells that the caller has given up; nothing more is owed.
+func (c *Controller) CallerLeft(now Tenths, id uint32) {
+	if k := c.calls[id]; k != nil {
+		c.become(k, over)
+	}
+}
+
+// Woken is called at or after a time asked for.
+func (c *Controller) Woken(now Tenths, token uint64) {
+	if token == followToken {
+		c.out.Follow()
+		return
+	}
+	if k := c.calls[uint32(token)]; k != nil && k.state == resting && now >= k.readyAt {
+		c.place(now, k)
+	}
+}
+
+// ListLost tells that the list could not be had or the subscription broke: ask again, backing off.
+func (c *Controller) ListLost(now Tenths) {
+	c.followIn = min(max(2*c.followIn, 2500), max(2500, c.d.AskWithin/4))
+	c.out.Wake(now+c.followIn+Tenths(c.draw()*float64(c.followIn)), followToken)
+}
+
+// Listed takes the list of switches, whole or only what changed.
+func (c *Controller) Listed(now Tenths, whole bool, list []Switch) {
+	c.followIn = 0
+	if whole {
+		for i := range c.far {
+			c.far[i].ready = false
+		}
+	}
+	for _, s := range list {
+		f := &c.far[c.index(s.ID)]
+		if s.BootAt != f.bootAt { // another process: what was learned of the old one is void
+			f.answers, f.wait, f.holdBack, f.budget, f.budgetAt = decaying{}, 0, 0, 0, now
+		}
+		f.number, f.bootAt, f.ready = s.Number, s.BootAt, s.Ready
+	}
+	clear(c.serving)
+	for i := range c.far {
+		f := &c.far[i]
+		if old, taken := c.serving[f.number]; f.ready && (!taken || c.far[old].bootAt <= f.bootAt) {
+			c.serving[f.number] = i
+		}
+	}
+}
+
+// index maps a switch id to a small index at the door.
+func (c *Controller) index(id uint32) int {
+	i, ok := c.byID[id]
+	if !ok {
+		i = len(c.far)
+		c.far = append(c.far, farEnd{id: id, number: -1})
+		c.byID[id] = i
+	}
+	return i
+}
+
+// draw returns a chance in [0, 1) from a multiply-with-carry generator.
+func (c *Controller) draw() float64 {
+	c.chance = 4294957665*(c.chance&0xffffffff) + c.chance>>32
+	return float64(c.chance&0xffffffff) / (1 << 32)
+}
+
+// decaying is a set of sums that fade with a half-life, brought up to date when read.
+type decaying struct {
+	n, x, xx float64
+	at       Tenths
+}
+
+func (s *decaying) read(now, half Tenths) float64 {
+	if now > s.at {
+		by := fade(now-s.at, half)
+		s.n, s.x, s.xx, s.at = s.n*by, s.x*by, s.xx*by, now
+	}
+	return s.n
+}
+
+func (s *decaying) add(now, half Tenths, x float64) {
+	s.read(now, half)
+	s.n, s.x, s.xx = s.n+1, s.x+x, s.xx+x*x
+}
+
+// rate is events a second.
+func (s *decaying) rate(now, half Tenths) float64 {
+	return s.read(now, half) * math.Ln2 / (float64(half) / 10000)
+}
+
+// quantile is the mean and some deviations; evidence that fades loses its say against a small prior of prompt answers.
+func (s *decaying) quantile(now Tenths) float64 {
+	n := s.read(now, answerHalf) + emptyPrior
+	mean := s.x / n
+	return mean + spread*math.Sqrt(max(0, s.xx/n-mean*mean))
+}
+
+func fade(age, half Tenths) float64 { return math.Exp2(-float64(age) / float64(half)) }
