--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strings"
+	"testing"
+)
+
+const info = `{"family_info":{"self_no":0,"shape":"mesh","release_guard":300.0},"grades":[{"aim":1200.0,"deadline":9000.0,
+"worth":1.0}],"policy_limits":{"max_attempts":4},"load_report":{"names":["free","size"]},"unknown":[1]}`
+
+// frame lays records and their tail out as one batch.
+func frame(clock float64, tail string, records ...[]byte) []byte {
+	var body []byte
+	for _, r := range records {
+		body = append(body, append(r, make([]byte, eventSize-len(r))...)...)
+	}
+	body = append(body, tail...)
+	head := make([]byte, batchHeader)
+	binary.LittleEndian.PutUint64(head, math.Float64bits(clock))
+	binary.LittleEndian.PutUint32(head[8:], uint32(batchHeader+len(body)))
+	binary.LittleEndian.PutUint32(head[12:], uint32(len(records)))
+	return append(head, body...)
+}
+
+func rec(code byte, fields ...any) []byte {
+	b := bytes.NewBuffer([]byte{code})
+	for _, f := range fields {
+		if err := binary.Write(b, binary.LittleEndian, f); err != nil {
+			panic(err)
+		}
+	}
+	return b.Bytes()
+}
+
+// opening starts one instance with two switches and a group of 9 circuits, and offers it a call.
+func opening() []byte {
+	entry := func(id uint32, number uint16) string {
+		return string(rec(0, float32(1), 0.0, uint16(0), id, uint16(0), number, uint8(1))[1:])
+	}
+	list := entry(500, 0) + entry(501, 1)
+	return frame(1000, info+list,
+		rec(evSwitchTo, uint32(3)),
+		rec(evLaunch, uint64(5), uint32(0), uint32(len(info))),
+		rec(evRegister, uint16(0), uint32(len(info)), uint32(2)),
+		rec(evTargets, uint8(listCached), uint64(1), uint16(0)),
+		rec(evEcho, uint32(501), uint16(100), 0.0, uint8(2), float32(9), float32(9)),
+		rec(evSubmit, uint32(77), uint8(0), uint16(0), uint64(0), 3000.0, 0.0, float32(1), float32(1), float32(-1), uint8(0)))
+}
+
+func serve(in []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := NewHost().Serve(bytes.NewReader(in), &out)
+	return out.Bytes(), err
+}
+
+func TestOfferedCallIsSentDirect(t *testing.T) {
+	out, err := serve(opening())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := binary.LittleEndian.Uint32(out[4:]); n != 2 || out[8] != acAs || out[32] != acAssign {
+		t.Fatalf("reply of %d records: % x", n, out)
+	}
+	if call, to := u32(out[33:]), u32(out[37:]); call != 77 || to != 501 {
+		t.Fatalf("call %d sent to %d", call, to)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	start := rec(evSwitchTo, uint32(3))
+	for name, c := range map[string]struct {
+		in   []byte
+		says string
+	}{
+		"truncated":       {opening()[:60], "unexpected EOF"},
+		"huge length":     {frame(0, "")[:8:8], "header"},
+		"unknown event":   {append(opening(), frame(1001, "", start, rec(99))...), "record 1 (code 99): unknown event"},
+		"no instance":     {frame(0, "", start, rec(evRing, uint64(1))), "unknown instance 3"},
+		"tail reference":  {frame(0, "", start, rec(evLaunch, uint64(1), uint32(5), uint32(9))), "past the tail"},
+		"settings":        {frame(0, "{]", start, rec(evLaunch, uint64(1), uint32(0), uint32(2))), "settings do not parse"},
+		"list undefined":  {append(opening(), frame(1001, "", start, rec(evTargets, uint8(1), uint64(1), uint16(9)))...), "never defined"},
+		"too many":        {append(frame(0, "")[:12:12], 9, 0, 0, 0), "9 records do not fit"},
+		"unknown outcome": {append(opening(), frame(1001, "", start, rec(evReport, uint32(77), uint8(0), uint32(501), uint16(9)))...), "unknown outcome 9"},
+	} {
+		if _, err := serve(c.in); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzServe(f *testing.F) {
+	f.Add(opening())
+	f.Add(frame(0, ""))
+	f.Add(append(opening(), frame(1500, "", rec(evSwitchTo, uint32(3)), rec(evHalt))...))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		out, err := serve(in)
+		if err == nil && len(in) >= batchHeader && len(out) < replyHeader {
+			t.Fatalf("no reply to a batch of %d bytes", len(in))
+		}
+	})
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,281 @@
+package policy
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// town is a mesh of n exchanges, this one being number 0, with groups of equal size.
+func town(n, size int) *rig {
+	r := newRig(Deployment{Seed: 7, Own: 0, Controllers: n, MaxTries: 4, ReleaseTime: 3000, DrainGrace: 2500,
+		ColdFrom: 0.3, RampTime: 140000, FallMultiple: 3, FallWindow: 15000, ComeBackMost: 20000,
+		Bearers: []Bearer{{Revenue: 1, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1, Holding: 100000},
+			{Revenue: 5, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1, Holding: 100000}}})
+	var list []Switch
+	for i := range n {
+		list = append(list, Switch{ID: uint32(100 + i), Number: i, Ready: true})
+	}
+	r.list(true, list...)
+	for i := 1; i < n; i++ {
+		r.group(uint32(100+i), size, size)
+	}
+	return r
+}
+
+func ask(id uint32, bearer, dest int) Call {
+	return Call{ID: id, Bearer: bearer, Dest: dest, Width: 1, Advice: -1, TTL: 30000}
+}
+
+func expect(t *testing.T, r *rig, got, want string) {
+	t.Helper()
+	if got != want || len(r.broken) > 0 {
+		t.Fatalf("got %q, want %q; broken: %v", got, want, r.broken)
+	}
+}
+
+func TestReserveMarkAndProtectedType(t *testing.T) {
+	r := town(2, 20)
+	for _, c := range []struct {
+		free, bearer int
+		want         string
+	}{{3, 0, "send 101"}, {2, 0, "block"}, {2, 1, "send 101"}, {1, 1, "send 101"}, {0, 1, "block"}} {
+		r.group(101, c.free, 20)
+		expect(t, r, r.offer(ask(uint32(len(r.calls)), c.bearer, 1)), c.want)
+	}
+}
+
+func TestTransitMark(t *testing.T) {
+	for _, c := range []struct {
+		free int
+		want string
+	}{{4, "block"}, {5, "send 101"}} {
+		r := town(3, 20)
+		r.group(101, c.free, 20)
+		k := ask(1, 1, 1)
+		k.Transit = true
+		expect(t, r, r.offer(k), c.want)
+	}
+	r := town(3, 20) // the direct group is full and the other group stands at the mark
+	r.group(101, 0, 20)
+	r.group(102, 4, 20)
+	expect(t, r, r.offer(ask(1, 0, 1)), "block")
+}
+
+func TestTandemIsStickyAndRedrawnAfterABlock(t *testing.T) {
+	r := town(8, 50)
+	r.group(101, 0, 20)
+	first := r.offer(ask(1, 0, 1))
+	for id := uint32(2); id < 12; id++ {
+		expect(t, r, r.offer(ask(id, 0, 1)), first)
+		r.stand(id)
+	}
+	seen := map[string]bool{}
+	for id := uint32(20); id < 60; id++ {
+		r.offer(ask(id, 0, 1))
+		seen[r.end(id, Blocked, TurnedBack)] = true
+	}
+	if len(seen) < 4 {
+		t.Fatalf("redrawn tandems: %v", seen)
+	}
+}
+
+func TestReleaseIsAwaitedThenAnotherTandemTried(t *testing.T) {
+	r := town(4, 50)
+	r.group(101, 0, 20)
+	r.offer(ask(1, 0, 1))
+	expect(t, r, r.end(1, Cut, NoReason), "nothing")
+	r.pass(2900)
+	expect(t, r, r.last, "nothing")
+	r.pass(200)
+	if len(r.sent) != 2 || len(r.broken) > 0 {
+		t.Fatalf("sends %v, broken %v", r.sent, r.broken)
+	}
+}
+
+func TestHungSwitchIsSpared(t *testing.T) {
+	r := town(3, 200)
+	for id := uint32(0); id < 40; id++ {
+		r.offer(ask(id, 0, 1))
+		r.pass(1000)
+	}
+	late := 0
+	for _, s := range r.sent {
+		if s.sentAt > 1_020_000 {
+			late++
+		}
+	}
+	if late > 6 || len(r.broken) > 0 {
+		t.Fatalf("%d of 20 late calls still went to a switch that answers nothing; broken %v", late, r.broken)
+	}
+}
+
+func TestLeastRevenueIsShedFirst(t *testing.T) {
+	r := town(3, 200)
+	sent := [2]int{}
+	for id := uint32(0); id < 300; id++ {
+		r.c.heard(r.now, &r.c.far[r.c.byID[101]], Report{Free: 200, Size: 200, Wait: 7000, HoldBack: -1})
+		b := 0
+		if id%5 == 0 {
+			b = 1
+		}
+		if r.offer(ask(id, b, 1)) == "send 101" {
+			sent[b]++
+			r.stand(id)
+		}
+		r.pass(200)
+	}
+	if sent[1] < 58 || sent[0] > 160 || sent[0] < 40 {
+		t.Fatalf("sent %d of 240 cheap and %d of 60 dear calls", sent[0], sent[1])
+	}
+}
+
+func TestColdSwitchGetsABudget(t *testing.T) {
+	r := town(4, 500)
+	r.list(false, Switch{ID: 101, Number: 1, Ready: true, BootAt: r.now})
+	for id := uint32(0); id < 120; id++ {
+		r.offer(ask(id, 1, 1))
+		if h := r.calls[id]; h.out != nil {
+			r.stand(id)
+		}
+		r.pass(1000)
+	}
+	var cold []Tenths
+	for _, s := range r.sent {
+		if s.id == 101 {
+			cold = append(cold, s.sentAt)
+		}
+	}
+	for i := 3; i < len(cold); i++ {
+		if cold[i]-cold[i-3] < r.d.FallWindow {
+			t.Fatalf("4 set-ups within a fall window to a cold switch of unknown traffic: %v", cold)
+		}
+	}
+	if len(cold) < 4 {
+		t.Fatalf("a cold switch was sent no more than %v", cold)
+	}
+}
+
+func TestListIsAskedAnewAfterAFailure(t *testing.T) {
+	d := town(2, 9).d
+	d.ListAsked, d.AskWithin = true, 100000
+	r := newRig(d)
+	r.c.ListLost(r.now)
+	r.pass(20000)
+	if r.follows != 2 {
+		t.Fatalf("asked %d times", r.follows)
+	}
+}
+
+func drawDeployment(t *rapid.T) Deployment {
+	d := Deployment{Seed: rapid.Uint64().Draw(t, "seed"), Own: 0, Controllers: rapid.IntRange(1, 9).Draw(t, "controllers"),
+		Pools: rapid.Bool().Draw(t, "pools"), MaxTries: rapid.IntRange(1, 6).Draw(t, "tries"),
+		ReleaseTime:  Tenths(rapid.IntRange(0, 6000).Draw(t, "release")),
+		Resend:       Tenths(rapid.SampledFrom([]int{0, 4000}).Draw(t, "resend")),
+		ComeBackMost: Tenths(rapid.SampledFrom([]int{0, 20000}).Draw(t, "come back")),
+		DrainGrace:   Tenths(rapid.SampledFrom([]int{0, 2500, 20000}).Draw(t, "grace")),
+		ColdFrom:     rapid.Float64Range(0, 1).Draw(t, "cold"), RampTime: Tenths(rapid.IntRange(0, 140000).Draw(t, "ramp")),
+		FallMultiple: 3, FallWindow: 15000, ListAsked: rapid.Bool().Draw(t, "asked")}
+	if d.Pools {
+		d.Own = -1
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "bearers") {
+		b := Bearer{Revenue: float64(rapid.IntRange(0, 5).Draw(t, "revenue")), LateShare: 0.2,
+			GoSTarget: Tenths(rapid.IntRange(1, 20000).Draw(t, "gos")), Abandon: 90000,
+			Width: rapid.IntRange(1, 4).Draw(t, "width")}
+		if d.Pools {
+			b.Pools = rapid.SliceOfN(rapid.IntRange(0, 5), 0, 3).Draw(t, "skills")
+		}
+		d.Bearers = append(d.Bearers, b)
+	}
+	return d
+}
+
+// TestRulesHoldInAnyHistory drives the controller through legal histories; the rig checks the rules at every step.
+func TestRulesHoldInAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawDeployment(t)
+		r := newRig(d)
+		next := uint32(0)
+		anySwitch := func(label string) Switch {
+			n := rapid.IntRange(0, 5).Draw(t, label)
+			life := rapid.IntRange(0, 9).Draw(t, "life") // ready, mostly
+			s := Switch{ID: uint32(100 + n + 10*rapid.IntRange(0, 1).Draw(t, "machine")), Number: n, Ready: life > 2, Draining: life == 2}
+			if rapid.Bool().Draw(t, "restarted") {
+				s.BootAt = r.now
+			}
+			return s
+		}
+		pick := func() (uint32, bool) {
+			open := r.open()
+			if len(open) == 0 {
+				return 0, false
+			}
+			return rapid.SampledFrom(open).Draw(t, "call"), true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				next++
+				c := Call{ID: next, Bearer: rapid.IntRange(0, len(d.Bearers)-1).Draw(t, "bearer"),
+					Dest: rapid.IntRange(0, 6).Draw(t, "dest"), Advice: rapid.IntRange(-1, 6).Draw(t, "advice"),
+					TTL: Tenths(rapid.IntRange(0, 36000).Draw(t, "ttl")), Redial: rapid.Bool().Draw(t, "redial"),
+					Transit: !d.Pools && rapid.Bool().Draw(t, "transit"), Cut: rapid.Bool().Draw(t, "cut")}
+				c.Width = d.Bearers[c.Bearer].Width
+				r.offer(c)
+			},
+			"list": func(t *rapid.T) {
+				var l []Switch
+				seen := map[uint32]bool{}
+				for range rapid.IntRange(0, 8).Draw(t, "entries") {
+					if s := anySwitch("number"); !seen[s.ID] {
+						seen[s.ID] = true
+						l = append(l, s)
+					}
+				}
+				r.list(rapid.Bool().Draw(t, "whole"), l...)
+			},
+			"lost": func(*rapid.T) {
+				if d.ListAsked {
+					r.c.ListLost(r.now)
+				}
+			},
+			"group": func(t *rapid.T) {
+				size := rapid.IntRange(0, 30).Draw(t, "size")
+				r.group(anySwitch("to").ID, rapid.IntRange(0, size).Draw(t, "free"), size)
+			},
+			"stand": func(*rapid.T) {
+				if id, ok := pick(); ok && !r.calls[id].stands {
+					r.stand(id)
+				}
+			},
+			"end": func(t *rapid.T) {
+				id, ok := pick()
+				if !ok {
+					return
+				}
+				if r.calls[id].stands {
+					r.end(id, rapid.SampledFrom([]Ending{Released, Cut}).Draw(t, "ending"), NoReason)
+					return
+				}
+				e := rapid.SampledFrom([]Ending{Faulted, Blocked, Unreached, Cut, Cancelled, Unsent}).Draw(t, "ending")
+				r.end(id, e, Reason(rapid.IntRange(0, 5).Draw(t, "reason")))
+			},
+			"caller leaves": func(*rapid.T) {
+				if id, ok := pick(); ok && !r.calls[id].stands {
+					r.calls[id].done = true
+					r.c.CallerLeft(r.now, id)
+				}
+			},
+			"time": func(t *rapid.T) { r.pass(Tenths(rapid.IntRange(1, 15000).Draw(t, "by"))) },
+			"": func(t *rapid.T) {
+				if len(r.broken) > 0 {
+					t.Fatalf("rules broken: %v", r.broken)
+				}
+			},
+		})
+		r.pass(50000)
+		if len(r.broken) > 0 {
+			t.Fatalf("rules broken: %v", r.broken)
+		}
+	})
+}
--- /dev/null
+++ b/policy/rig_test.go
@@ -0,0 +1,220 @@
+package policy
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, v := range map[string]string{"rapid.seed": "1971", "rapid.checks": "3000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, v); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// try is a route try as the rig sees it.
+type try struct {
+	to    uint32
+	no    int
+	until Tenths
+}
+
+// held is a call as the rig sees it.
+type held struct {
+	ask       Call
+	leaves    Tenths
+	out       *try
+	tries     int
+	releaseAt Tenths
+	stands    bool
+	done      bool
+	told      bool // its end was reported to the controller, or given by it
+}
+
+// rig is an exchange on paper: it carries out what the controller asks and notes every broken rule.
+type rig struct {
+	d       Deployment
+	c       *Controller
+	now     Tenths
+	calls   map[uint32]*held
+	order   []uint32
+	off     map[uint32]Tenths // switches told to drain or be gone, and when
+	named   map[uint32]int    // switches ever listed, and their numbers
+	wakes   []pending         // id unused here; sentAt is the time, tokens beside it
+	tokens  []uint64
+	sent    []pending // every send: switch and time
+	last    string
+	follows int
+	broken  []string
+}
+
+func newRig(d Deployment) *rig {
+	r := &rig{d: d, now: 1_000_000, calls: map[uint32]*held{}, off: map[uint32]Tenths{}, named: map[uint32]int{}}
+	r.c = New(d, r, r.now)
+	return r
+}
+
+func (r *rig) fault(format string, args ...any) {
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+func (r *rig) Send(id, to uint32, limit Tenths) {
+	h := r.calls[id]
+	r.last = fmt.Sprintf("send %d", to)
+	switch {
+	case h == nil || h.done:
+		r.fault("send for call %d, which is over", id)
+		return
+	case h.out != nil || h.stands:
+		r.fault("second route try for call %d", id)
+	case r.now < h.releaseAt:
+		r.fault("call %d sent before its release", id)
+	case h.tries >= r.d.MaxTries:
+		r.fault("call %d sent too often", id)
+	}
+	if at, off := r.off[to]; off && r.now > at+r.d.DrainGrace {
+		r.fault("send to switch %d, told off", to)
+	}
+	if n, ok := r.named[to]; !ok || n == r.d.Own || h.ask.Transit && n != h.ask.Dest {
+		r.fault("send of call %d to a forbidden switch %d", id, to)
+	}
+	until := h.leaves
+	if limit > 0 {
+		until = min(until, r.now+limit)
+	}
+	h.out = &try{to, h.tries, until}
+	h.tries++
+	r.sent = append(r.sent, pending{to, r.now})
+}
+
+func (r *rig) answer(id uint32, kind string) {
+	r.last = kind
+	h := r.calls[id]
+	if h == nil || h.done || h.stands {
+		r.fault("%s for call %d, which is over", kind, id)
+		return
+	}
+	if h.out != nil {
+		r.fault("%s for call %d while a try is out", kind, id)
+	}
+	h.done = true
+}
+
+func (r *rig) Block(id uint32, comeBack Tenths) {
+	if comeBack > r.d.ComeBackMost {
+		r.fault("come-back time %d", comeBack)
+	}
+	r.answer(id, "block")
+}
+func (r *rig) Abort(id uint32)    { r.answer(id, "abort") }
+func (r *rig) Cancel(uint32, int) {}
+func (r *rig) Follow()            { r.follows++ }
+func (r *rig) Note(string)        {}
+func (r *rig) Wake(at Tenths, token uint64) {
+	r.wakes, r.tokens = append(r.wakes, pending{0, at}), append(r.tokens, token)
+}
+
+// offer hands the controller a call and returns what it did last.
+func (r *rig) offer(ask Call) string {
+	r.calls[ask.ID] = &held{ask: ask, leaves: r.now + ask.TTL}
+	r.order = append(r.order, ask.ID)
+	r.last = "nothing"
+	r.c.Offer(r.now, ask)
+	return r.last
+}
+
+// end reports the outcome of the try that is out.
+func (r *rig) end(id uint32, e Ending, why Reason) string {
+	h := r.calls[id]
+	t := h.out
+	h.out = nil
+	if e == TimedOut || e == Cut || e == Cancelled {
+		h.releaseAt = r.now + r.d.ReleaseTime
+	}
+	if h.stands {
+		h.done = true
+	}
+	r.last = "nothing"
+	r.c.Ended(r.now, id, t.no, t.to, e, h.done, why, 0, Report{Free: -1, Size: -1, Wait: -1, HoldBack: -1})
+	return r.last
+}
+
+func (r *rig) stand(id uint32) {
+	h := r.calls[id]
+	h.stands = true
+	r.c.Stands(r.now, id, h.out.no)
+}
+
+// list hands over the list and remembers who was told off.
+func (r *rig) list(whole bool, sw ...Switch) {
+	if whole {
+		for id := range r.named {
+			if _, off := r.off[id]; !off {
+				r.off[id] = r.now
+			}
+		}
+	}
+	for _, s := range sw {
+		r.named[s.ID] = s.Number
+		if _, off := r.off[s.ID]; s.Ready {
+			delete(r.off, s.ID)
+		} else if !off {
+			r.off[s.ID] = r.now
+		}
+	}
+	r.c.Listed(r.now, whole, sw)
+}
+
+func (r *rig) group(sw uint32, free, size int) {
+	r.c.Circuits(r.now, sw, Report{Free: free, Size: size, Wait: -1, HoldBack: -1})
+}
+
+// pass lets time go by: limits expire, rings come due, callers whose time is up must have had their answer.
+func (r *rig) pass(by Tenths) {
+	for end := r.now + by; r.now < end; {
+		r.now = min(end, r.now+50)
+		for _, id := range r.order {
+			h := r.calls[id]
+			if h.out != nil && !h.stands && r.now >= h.out.until {
+				r.end(id, TimedOut, NoReason)
+			}
+			if !h.done && !h.stands && r.now > h.leaves+200 {
+				r.fault("call %d got no answer in time", id)
+				h.done = true
+			}
+		}
+		due := r.tokens[:0:0]
+		var wakes []pending
+		var tokens []uint64
+		for i, w := range r.wakes {
+			if w.sentAt <= r.now {
+				due = append(due, r.tokens[i])
+			} else {
+				wakes, tokens = append(wakes, w), append(tokens, r.tokens[i])
+			}
+		}
+		r.wakes, r.tokens = wakes, tokens
+		for _, token := range due {
+			r.c.Woken(r.now, token)
+		}
+	}
+}
+
+// open lists the calls with a try out, in order of id.
+func (r *rig) open() []uint32 {
+	var ids []uint32
+	for id, h := range r.calls {
+		if h.out != nil {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
