Redials earn the late share: transit mark as their reserve and no tandem for them

A marked redial now needs the transit mark's room on the direct group and gets no alternative route.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -161,7 +161,8 @@
 	}
 	spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
 	direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
-	if k.ask.Transit {
+	late := k.ask.Redial && !k.ask.Cut // its first try's GoS target has passed, mostly: it earns the late share
+	if k.ask.Transit || late {
 		direct = spare >= reserveStart+transitExtra
 	}
 	if direct && k.rounds == 0 && c.send(now, k, dest, k.gosAt-now) {
@@ -171,7 +172,7 @@
 		c.giveUp(now, k, 0)
 		return
 	}
-	for k.rounds < 2 && now < k.gosAt {
+	for k.rounds < 2 && now < k.gosAt && !late {
 		t, ok := c.tandems[k.ask.Dest]
 		if !ok || !c.tandemFits(now, k, t, dest) {
 			if t, ok = c.drawTandem(now, k, dest); !ok {
