Tell redials by the number called and time them from their first try

Cause: where callers do not mark redials, late ones could not be told from first calls and took their circuits. The number called, asked for again after it was turned away here, tells; the first try's time also tells which redials can still meet the GoS target. Harm: many callers of one number are taken for one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,9 @@
 type call struct {
 	ask       Call
 	state     callState
-	gosAt     Tenths // full revenue until then
+	firstAt   Tenths // when the caller first asked, as far as known
+	gosAt     Tenths // worth trying until then
+	late      bool   // a redial that can earn the late share alone
 	abandonAt Tenths
 	tries     int
 	far       int // index of the switch of the present try
@@ -96,8 +98,10 @@
 	offers   decaying
 	ranks    []decaying // offered calls by place in the order of revenue
 	calls    map[uint32]*call
+	turned   map[uint64]Tenths // number called: when a caller turned away first asked for it
+	forget   []uint64          // the same numbers, oldest first
+	patience Tenths            // the longest that a caller keeps trying
 	followIn Tenths
-	protects bool
 }
 
 const followToken = math.MaxUint64
@@ -105,7 +109,7 @@
 // New returns a controller at the moment its process starts.
 func New(d Deployment, out Exchange, now Tenths) *Controller {
 	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
-		serving: map[int]int{}, tandems: map[int]int{}, calls: map[uint32]*call{}}
+		serving: map[int]int{}, tandems: map[int]int{}, calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
 	c.rankBearers()
 	if d.ListAsked {
 		c.out.Follow()
@@ -121,6 +125,7 @@
 	for _, b := range c.d.Bearers {
 		values = append(values, b.Revenue, b.Revenue*b.LateShare)
 		dearest = max(dearest, b.Revenue)
+		c.patience = max(c.patience, b.Abandon)
 	}
 	sort.Sort(sort.Reverse(sort.Float64Slice(values)))
 	for _, b := range c.d.Bearers {
@@ -138,8 +143,9 @@
 	if ask.Bearer < 0 || ask.Bearer >= len(c.rows) {
 		return false
 	}
-	k := &call{ask: ask, gosAt: now + c.rows[ask.Bearer].gosTarget, abandonAt: now + ask.TTL}
+	k := &call{ask: ask, firstAt: now, gosAt: now + c.rows[ask.Bearer].gosTarget, abandonAt: now + ask.TTL}
 	c.calls[ask.ID] = k
+	c.recognise(now, k)
 	if !ask.Transit {
 		c.offers.add(now, offerHalf, 1)
 		c.ranks[c.rank(k)].add(now, offerHalf, 1)
@@ -148,6 +154,32 @@
 	return true
 }
 
+// recognise finds out whether a call is a redial that comes too late for the GoS target of its caller's first try.
+// Where callers do not mark their redials, or the mark does not say when the first try was, the number called tells:
+// asked for again soon after it was turned away here. It guards against redials crowding out first calls; it could
+// do harm where many callers ask for one number, of whom all but the first would wait behind first calls.
+func (c *Controller) recognise(now Tenths, k *call) {
+	if k.ask.Transit || k.ask.Cut {
+		return
+	}
+	for len(c.forget) > 0 && now-c.turned[c.forget[0]] > c.patience {
+		delete(c.turned, c.forget[0])
+		c.forget = c.forget[1:]
+	}
+	first, again := c.turned[k.ask.Number]
+	if again {
+		k.firstAt = first
+		goal := first + c.rows[k.ask.Bearer].gosTarget
+		if dest, ok := c.serving[k.ask.Dest]; ok && now+c.expects(now, &c.far[dest]) < goal {
+			k.gosAt = goal
+			return
+		}
+		k.late = true
+		return
+	}
+	k.late = k.ask.Redial
+}
+
 // place is the ordinary path of a call: direct, else over one tandem, else turned away.
 func (c *Controller) place(now Tenths, k *call) {
 	dest, known := c.serving[k.ask.Dest]
@@ -161,8 +193,7 @@
 	}
 	spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
 	direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
-	late := k.ask.Redial && !k.ask.Cut // its first try's GoS target has passed, mostly: it earns the late share
-	if k.ask.Transit || late {
+	if k.ask.Transit || k.late {
 		direct = spare >= reserveStart+transitExtra
 	}
 	if direct && k.rounds == 0 && c.send(now, k, dest, k.gosAt-now) {
@@ -172,7 +203,7 @@
 		c.giveUp(now, k, 0)
 		return
 	}
-	for k.rounds < 2 && now < k.gosAt && !late {
+	for k.rounds < 2 && now < k.gosAt && !k.late {
 		t, ok := c.tandems[k.ask.Dest]
 		if !ok || !c.tandemFits(now, k, t, dest) {
 			if t, ok = c.drawTandem(now, k, dest); !ok {
@@ -279,7 +310,7 @@
 }
 
 func (c *Controller) rank(k *call) int {
-	if k.ask.Redial && !k.ask.Cut {
+	if k.late {
 		return c.rows[k.ask.Bearer].rank[1]
 	}
 	return c.rows[k.ask.Bearer].rank[0]
@@ -355,10 +386,14 @@
 
 // become is the one place where a call changes its state.
 func (c *Controller) become(k *call, s callState) {
-	k.state = s
 	if s == over {
 		delete(c.calls, k.ask.ID)
+		if k.state != standing && !k.ask.Transit && k.ask.Number != 0 {
+			c.turned[k.ask.Number] = k.firstAt
+			c.forget = append(c.forget, k.ask.Number)
+		}
 	}
+	k.state = s
 }
 
 // Stands tells that a call stands.
