--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,18 +40,18 @@
 )
 
 type call struct {
-	ask       Call
-	state     callState
-	firstAt   Tenths // when the caller first asked, as far as known
-	gosAt     Tenths // worth trying until then
-	late      bool   // a redial that can earn the late share alone
-	abandonAt Tenths
-	tries     int
-	far       int // index of the switch of the present try
-	tandem    bool
-	rounds    int // tries over a tandem so far
-	sentAt    Tenths
-	readyAt   Tenths // no send before: the release time of the last try
+	ask        Call
+	state      callState
+	firstAt    Tenths // when the caller first asked, as far as known
+	gosAt      Tenths // worth trying until then
+	late       bool   // a redial that can earn the late share alone
+	abandonAt  Tenths
+	tries      int
+	far        int // index of the switch of the present try
+	tandem     bool
+	turnedBack bool // a tandem could not pass it on: a second costs three processors work for little
+	sentAt     Tenths
+	readyAt    Tenths // no send before: the release time of the last try
 }
 
 // bearerRow is what the module reads of a bearer type.
@@ -196,30 +196,28 @@
 	if k.ask.Transit || k.late {
 		direct = spare >= reserveStart+transitExtra
 	}
-	if direct && k.rounds == 0 && c.send(now, k, dest, k.gosAt-now) {
+	if direct && !k.turnedBack && c.send(now, k, dest, k.gosAt-now) {
 		return
 	}
 	if k.ask.Transit { // to its destination or back
 		c.giveUp(now, k, 0)
 		return
 	}
-	for k.rounds < 2 && now < k.gosAt && !k.late {
+	if !k.turnedBack && !k.late && now < k.gosAt {
 		t, ok := c.tandems[k.ask.Dest]
 		if !ok || !c.tandemFits(now, k, t, dest) {
-			if t, ok = c.drawTandem(now, k, dest); !ok {
-				break
-			}
-			c.tandems[k.ask.Dest] = t
+			t, ok = c.drawTandem(now, k, dest)
 		}
-		k.rounds++
-		limit := k.gosAt - now
-		if again := (limit - c.d.ReleaseTime) / 2; k.rounds == 1 && again > 2*c.expects(now, &c.far[t]) {
-			limit = again // leaves room for the release and another tandem
-		}
-		if c.send(now, k, t, limit) {
-			return
+		if ok {
+			c.tandems[k.ask.Dest] = t
+			limit := k.gosAt - now
+			if again := (limit - c.d.ReleaseTime) / 2; k.tries == 0 && again > 2*c.expects(now, &c.far[t]) {
+				limit = again // leaves room for the release and another tandem
+			}
+			if c.send(now, k, t, limit) {
+				return
+			}
 		}
-		delete(c.tandems, k.ask.Dest)
 	}
 	c.giveUp(now, k, 0)
 }
@@ -450,7 +448,8 @@
 		}
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
-		} else if k.rounds == 0 && end == Unsent {
+			k.turnedBack = true
+		} else if end == Unsent {
 			f.free = 0
 		}
 		c.place(now, k)
