Judge answer times at the upper quartile, let reports hold 2 s, resends from three intervals

Cause: a pair of exchanges sees one or two answers a second, so a higher quantile of them shed calls on single late answers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,10 +16,10 @@
 	transitExtra = 2 // and so many more must stay free behind a call over a tandem
 
 	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end at ordinary traffic
-	reportHalf = Tenths(10000) // half-life of a reported wait, a few report periods
+	reportHalf = Tenths(20000) // half-life of a reported wait, a few report periods
 	offerHalf  = Tenths(80000) // half-life of traffic counts, longer than any burst between two calls
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
-	spread     = 1.3           // deviations above the mean: about the ninth decile of answer times
+	spread     = 0.7 // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
 
 	shedFrom = 0.30 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 0.90 // and this late leaves only what the trickle below lets through
@@ -284,7 +284,7 @@
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
 	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
-		scale = min(scale, 2*float64(c.d.Resend))
+		scale = min(scale, 3*float64(c.d.Resend))
 	}
 	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
 	asked := f.holdBack * fade(now-f.reportedAt, reportHalf)
