--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	reportHalf = Tenths(20000) // half-life of a reported wait, a few report periods
 	offerHalf  = Tenths(80000) // half-life of traffic counts, longer than any burst between two calls
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
-	spread     = 0.7 // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
+	spread     = 0.7           // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
 
 	shedFrom = 0.30 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 0.90 // and this late leaves only what the trickle below lets through
