--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,8 +21,8 @@
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
 	spread     = 0.7           // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
 
-	shedFrom = 0.30 // of the GoS target: an expected answer this late starts shedding
-	shedAll  = 0.90 // and this late leaves only what the trickle below lets through
+	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
+	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
 	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
 	coldFloor = 1.0  // set-ups a second towards a cold switch when nothing is known of its traffic
@@ -284,7 +284,7 @@
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
 	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
-		scale = min(scale, 3*float64(c.d.Resend))
+		scale = min(scale, 2*float64(c.d.Resend))
 	}
 	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
 	asked := f.holdBack * fade(now-f.reportedAt, reportHalf)
