A tandem that turned a call back rests 3 s for that destination

Cause: with one alternative a call, a fifth to a third of the tries over tandems were turned back and their work wasted; where the second leg is full, it stays so for seconds. Also covers a tandem without a group to the destination; could do harm where second legs free up within a second.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,8 @@
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
+	backRest = Tenths(30000) // a tandem that turned a call back is not asked for that destination again for so long
+
 	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
 	coldFloor = 1.0  // set-ups a second towards a cold switch when nothing is known of its traffic
 )
@@ -83,6 +85,7 @@
 	budget     float64 // set-ups a cold switch may still be sent
 	budgetAt   Tenths
 	waiting    []pending
+	backAt     map[int]Tenths // destination: when this switch last turned back a call for it
 }
 
 // Controller decides for one exchange.
@@ -231,6 +234,9 @@
 	if c.d.Pools && !listed(c.rows[k.ask.Bearer].pools, f.number) {
 		return false
 	}
+	if back, ok := f.backAt[k.ask.Dest]; ok && now < back+backRest {
+		return false
+	}
 	return c.held(now, f, k) == 0 && c.serving[f.number] == t
 }
 
@@ -449,6 +455,7 @@
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
 			k.turnedBack = true
+			f.backAt[k.ask.Dest] = now
 		} else if end == Unsent {
 			f.free = 0
 		}
@@ -541,7 +548,7 @@
 	i, ok := c.byID[id]
 	if !ok {
 		i = len(c.far)
-		c.far = append(c.far, farEnd{id: id, number: -1})
+		c.far = append(c.far, farEnd{id: id, number: -1, backAt: map[int]Tenths{}})
 		c.byID[id] = i
 	}
 	return i
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -74,12 +74,45 @@
 	for id := uint32(20); id < 60; id++ {
 		seen[r.offer(ask(id, 0, 1))] = true
 		expect(t, r, r.end(id, Blocked, TurnedBack), "block") // one turn-back is enough work for a call
+		r.pass(10000)
 	}
 	if len(seen) < 4 {
 		t.Fatalf("redrawn tandems: %v", seen)
 	}
 }
 
+func TestTandemThatTurnedBackRests(t *testing.T) {
+	r := town(3, 50)
+	r.group(101, 0, 20)
+	expect(t, r, r.offer(ask(1, 0, 1)), "send 102")
+	expect(t, r, r.end(1, Blocked, TurnedBack), "block")
+	expect(t, r, r.offer(ask(2, 0, 1)), "block")
+	r.pass(30000)
+	expect(t, r, r.offer(ask(3, 0, 1)), "send 102")
+}
+
+func TestLateRedialsStandBehindFirstCalls(t *testing.T) {
+	r := town(2, 20)
+	again := func(id uint32, number uint64) Call {
+		k := ask(id, 0, 1)
+		k.Number = number
+		return k
+	}
+	r.group(101, 2, 20)
+	expect(t, r, r.offer(again(1, 55)), "block")
+	r.pass(5000) // within the GoS target of the first try, a redial is as good as a first call
+	r.group(101, 3, 20)
+	expect(t, r, r.offer(again(2, 55)), "send 101")
+	r.end(2, Faulted, NoReason)
+	r.pass(10000) // past it, it needs the room of a call in transit, marked or not
+	r.group(101, 4, 20)
+	expect(t, r, r.offer(again(3, 55)), "block")
+	marked := again(4, 56)
+	marked.Redial = true
+	expect(t, r, r.offer(marked), "block")
+	expect(t, r, r.offer(again(5, 57)), "send 101")
+}
+
 func TestReleaseIsAwaitedThenAnotherTandemTried(t *testing.T) {
 	r := town(4, 50)
 	r.group(101, 0, 20)
@@ -266,6 +299,11 @@
 					r.c.CallerLeft(r.now, id)
 				}
 			},
+			"stray ring": func(t *rapid.T) {
+				if id, ok := pick(); ok {
+					r.c.Woken(r.now, uint64(id))
+				}
+			},
 			"time": func(t *rapid.T) { r.pass(Tenths(rapid.IntRange(1, 15000).Draw(t, "by"))) },
 			"": func(t *rapid.T) {
 				if len(r.broken) > 0 {
