Count unanswered tries by age and number when judging a far end

Cause: at one or two calls a second a pair, answer times tell of a slow processor too late. Also: a destination out of reach is not tried again for one call.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,6 +21,9 @@
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
 	spread     = 0.7           // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
 
+	ageWeight = 1.5  // an unanswered try is so much worse than its age, as it is not done yet
+	eachAdds  = 0.15 // of the tightest GoS target: what each further unanswered try at the same switch adds
+
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
@@ -104,6 +107,7 @@
 	turned   map[uint64]Tenths // number called: when a caller turned away first asked for it
 	forget   []uint64          // the same numbers, oldest first
 	patience Tenths            // the longest that a caller keeps trying
+	tightest Tenths            // the least GoS target
 	followIn Tenths
 }
 
@@ -129,6 +133,9 @@
 		values = append(values, b.Revenue, b.Revenue*b.LateShare)
 		dearest = max(dearest, b.Revenue)
 		c.patience = max(c.patience, b.Abandon)
+		if c.tightest == 0 || b.GoSTarget < c.tightest {
+			c.tightest = b.GoSTarget
+		}
 	}
 	sort.Sort(sort.Reverse(sort.Float64Slice(values)))
 	for _, b := range c.d.Bearers {
@@ -297,18 +304,21 @@
 	return min(1, max(0, late, asked))
 }
 
-// expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or the age of
-// the oldest try still unanswered, whichever is worst. A hung switch answers nothing, so only the last tells of it.
+// expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or what the
+// tries still unanswered tell by their age and number, whichever is worst. A hung switch answers nothing and a slow
+// one answers seconds late; at one or two calls a second the unanswered tries are the first sign of either. The sign
+// misleads for a moment after a burst of calls to one switch.
 func (c *Controller) expects(now Tenths, f *farEnd) Tenths {
 	worst := f.answers.quantile(now)
 	worst = max(worst, float64(f.wait)*fade(now-f.reportedAt, reportHalf))
-	for len(f.waiting) > 0 {
-		p := f.waiting[0]
+	open := f.waiting[:0]
+	for _, p := range f.waiting {
 		if k := c.calls[p.id]; k != nil && k.state == trying && k.sentAt == p.sentAt && &c.far[k.far] == f {
-			worst = max(worst, float64(now-p.sentAt))
-			break
+			open = append(open, p)
 		}
-		f.waiting = f.waiting[1:]
+	}
+	if f.waiting = open; len(open) > 0 {
+		worst = max(worst, ageWeight*float64(now-open[0].sentAt)+float64(len(open)-1)*eachAdds*float64(c.tightest))
 	}
 	return Tenths(worst)
 }
@@ -452,6 +462,10 @@
 			c.giveUp(now, k, c.d.ComeBackMost)
 			return
 		}
+		if end == Unreached && !k.tandem { // nobody reaches a destination that is down
+			c.giveUp(now, k, c.d.ComeBackMost)
+			return
+		}
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
 			k.turnedBack = true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+func TestUnansweredTriesAreTheFirstSign(t *testing.T) {
+	r := town(3, 200)
+	for id := uint32(0); id < 12; id++ {
+		r.offer(ask(id, 0, 1))
+		r.pass(100)
+	}
+	if n := len(r.sent); n < 3 || n > 8 || len(r.broken) > 0 {
+		t.Fatalf("%d of 12 calls within 120 ms went to a switch that had answered none; broken %v", n, r.broken)
+	}
+}
+
+func TestUnreachableDestinationIsNotTriedAgain(t *testing.T) {
+	r := town(3, 50)
+	expect(t, r, r.offer(ask(1, 0, 1)), "send 101")
+	expect(t, r, r.end(1, Unreached, NoReason), "block")
+}
+
 func TestLeastRevenueIsShedFirst(t *testing.T) {
 	r := town(3, 200)
 	sent := [2]int{}
