--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,8 @@
 	ageWeight = 1.5  // an unanswered try is so much worse than its age, as it is not done yet
 	eachAdds  = 0.15 // of the tightest GoS target: what each further unanswered try at the same switch adds
 
+	lossy = 0.5 // tries overtaken lately at one switch: from here on messages are taken to get lost
+
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
@@ -54,6 +56,7 @@
 	tries      int
 	far        int // index of the switch of the present try
 	tandem     bool
+	lost       bool // a later try to the same switch was answered first
 	turnedBack bool // a tandem could not pass it on: a second costs three processors work for little
 	sentAt     Tenths
 	readyAt    Tenths // no send before: the release time of the last try
@@ -81,6 +84,7 @@
 	bootAt     Tenths
 	free, size int
 	answers    decaying // answer times of route tries
+	losses     decaying // tries overtaken by later ones
 	wait       Tenths   // last wait reported or hinted
 	holdBack   float64
 	reportedAt Tenths
@@ -206,7 +210,7 @@
 	if k.ask.Transit || k.late {
 		direct = spare >= reserveStart+transitExtra
 	}
-	if direct && !k.turnedBack && c.send(now, k, dest, k.gosAt-now) {
+	if direct && !k.turnedBack && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
 		return
 	}
 	if k.ask.Transit { // to its destination or back
@@ -220,11 +224,7 @@
 		}
 		if ok {
 			c.tandems[k.ask.Dest] = t
-			limit := k.gosAt - now
-			if again := (limit - c.d.ReleaseTime) / 2; k.tries == 0 && again > 2*c.expects(now, &c.far[t]) {
-				limit = again // leaves room for the release and another tandem
-			}
-			if c.send(now, k, t, limit) {
+			if c.send(now, k, t, c.patienceWith(now, k, t)) {
 				return
 			}
 		}
@@ -232,6 +232,18 @@
 	c.giveUp(now, k, 0)
 }
 
+// patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were lost lately
+// and answers else come well within that, short enough to leave room for the release time and one more try.
+func (c *Controller) patienceWith(now Tenths, k *call, to int) Tenths {
+	f, left := &c.far[to], k.gosAt-now
+	again := (left - c.d.ReleaseTime) / 2
+	risky := f.number != k.ask.Dest || f.losses.read(now, offerHalf) > lossy
+	if risky && k.tries == 0 && again > 2*c.expects(now, f) {
+		return again
+	}
+	return left
+}
+
 // tandemFits tells whether a switch may serve as tandem: behind the transit mark, warm and not pressed.
 func (c *Controller) tandemFits(now Tenths, k *call, t, dest int) bool {
 	f := &c.far[t]
@@ -313,7 +325,7 @@
 	worst = max(worst, float64(f.wait)*fade(now-f.reportedAt, reportHalf))
 	open := f.waiting[:0]
 	for _, p := range f.waiting {
-		if k := c.calls[p.id]; k != nil && k.state == trying && k.sentAt == p.sentAt && &c.far[k.far] == f {
+		if k := c.calls[p.id]; k != nil && k.state == trying && k.sentAt == p.sentAt && &c.far[k.far] == f && !k.lost {
 			open = append(open, p)
 		}
 	}
@@ -383,6 +395,7 @@
 	f.waiting = append(f.waiting, pending{k.ask.ID, now})
 	k.far, k.sentAt, k.tandem = to, now, f.number != k.ask.Dest
 	k.tries++
+	k.lost = false
 	c.become(k, trying)
 	c.out.Send(k.ask.ID, f.id, limit)
 	return true
@@ -418,6 +431,28 @@
 	}
 	c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
 	c.become(k, standing)
+	c.overtaken(now, k)
+}
+
+// overtaken looks for direct tries sent to the same switch before the one just answered. A processor works in one
+// line, so their message or its answer was lost: they say nothing of the processor, and are called off where another
+// try can still meet the GoS target. It guards against links or switches that drop some messages; it would misjudge a
+// switch that does not answer in order.
+func (c *Controller) overtaken(now Tenths, k *call) {
+	if k.tandem {
+		return
+	}
+	for _, p := range c.far[k.far].waiting {
+		o := c.calls[p.id]
+		if o == nil || o.state != trying || o.sentAt != p.sentAt || o.far != k.far || o.tandem || o.lost || o.sentAt >= k.sentAt {
+			continue
+		}
+		o.lost = true
+		c.far[k.far].losses.add(now, offerHalf, 1)
+		if c.d.CancelsAllowed && now+c.d.ReleaseTime < o.gosAt {
+			c.out.Cancel(o.ask.ID, o.tries-1)
+		}
+	}
 }
 
 // Ended tells how a route try ended; final is set when the call is over with it.
@@ -432,7 +467,7 @@
 	if k == nil || try != k.tries-1 {
 		return
 	}
-	if k.state == trying && end != Unsent && end != Released {
+	if k.state == trying && !k.lost && end != Unsent && end != Released {
 		c.judge(now, k, f, end, why, wait)
 	}
 	if final || k.state == standing {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -154,6 +154,22 @@
 	}
 }
 
+func TestOvertakenTryIsCalledOffAndNotHeldAgainstTheSwitch(t *testing.T) {
+	r := town(2, 50)
+	r.c.d.CancelsAllowed = true
+	r.offer(ask(1, 1, 1))
+	r.pass(1000)
+	r.offer(ask(2, 1, 1))
+	r.pass(1000)
+	r.stand(2)
+	expect(t, r, r.last, "cancel 0")
+	expect(t, r, r.end(1, Cancelled, NoReason), "nothing")
+	r.pass(3100)
+	if r.calls[1].out == nil || r.c.expects(r.now, &r.c.far[r.c.byID[101]]) > 1500 || len(r.broken) > 0 {
+		t.Fatalf("call %+v, expects %d, broken %v", r.calls[1], r.c.expects(r.now, &r.c.far[r.c.byID[101]]), r.broken)
+	}
+}
+
 func TestUnreachableDestinationIsNotTriedAgain(t *testing.T) {
 	r := town(3, 50)
 	expect(t, r, r.offer(ask(1, 0, 1)), "send 101")
@@ -219,7 +235,7 @@
 
 func drawDeployment(t *rapid.T) Deployment {
 	d := Deployment{Seed: rapid.Uint64().Draw(t, "seed"), Own: 0, Controllers: rapid.IntRange(1, 9).Draw(t, "controllers"),
-		Pools: rapid.Bool().Draw(t, "pools"), MaxTries: rapid.IntRange(1, 6).Draw(t, "tries"),
+		Pools: rapid.Bool().Draw(t, "pools"), CancelsAllowed: rapid.Bool().Draw(t, "cancels"), MaxTries: rapid.IntRange(1, 6).Draw(t, "tries"),
 		ReleaseTime:  Tenths(rapid.IntRange(0, 6000).Draw(t, "release")),
 		Resend:       Tenths(rapid.SampledFrom([]int{0, 4000}).Draw(t, "resend")),
 		ComeBackMost: Tenths(rapid.SampledFrom([]int{0, 20000}).Draw(t, "come back")),
--- a/policy/rig_test.go
+++ b/policy/rig_test.go
@@ -113,10 +113,15 @@
 	}
 	r.answer(id, "block")
 }
-func (r *rig) Abort(id uint32)    { r.answer(id, "abort") }
-func (r *rig) Cancel(uint32, int) {}
-func (r *rig) Follow()            { r.follows++ }
-func (r *rig) Note(string)        {}
+func (r *rig) Abort(id uint32) { r.answer(id, "abort") }
+func (r *rig) Cancel(id uint32, no int) {
+	r.last = fmt.Sprintf("cancel %d", no)
+	if h := r.calls[id]; h == nil || no >= h.tries || !r.c.d.CancelsAllowed {
+		r.fault("cancel of try %d of call %d", no, id)
+	}
+}
+func (r *rig) Follow()     { r.follows++ }
+func (r *rig) Note(string) {}
 func (r *rig) Wake(at Tenths, token uint64) {
 	r.wakes, r.tokens = append(r.wakes, pending{0, at}), append(r.tokens, token)
 }
