--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,8 @@
 
 	backRest = Tenths(30000) // a tandem that turned a call back is not asked for that destination again for so long
 
+	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
+
 	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
 	coldFloor = 1.0  // set-ups a second towards a cold switch when nothing is known of its traffic
 )
@@ -109,13 +111,20 @@
 	ranks    []decaying // offered calls by place in the order of revenue
 	calls    map[uint32]*call
 	turned   map[uint64]Tenths // number called: when a caller turned away first asked for it
+	longest  []Tenths          // the longest time a caller gave a try, by bearer type
 	forget   []uint64          // the same numbers, oldest first
 	patience Tenths            // the longest that a caller keeps trying
 	tightest Tenths            // the least GoS target
 	followIn Tenths
+	beatDue  Tenths // when the next beat must come
+	stalled  Tenths // end of the last stall of this controller
+	stallFor Tenths
 }
 
-const followToken = math.MaxUint64
+const (
+	followToken = math.MaxUint64 // wakes that no call asked for
+	beatToken   = math.MaxUint64 - 1
+)
 
 // New returns a controller at the moment its process starts.
 func New(d Deployment, out Exchange, now Tenths) *Controller {
@@ -125,6 +134,7 @@
 	if d.ListAsked {
 		c.out.Follow()
 	}
+	c.beat(now)
 	return c
 }
 
@@ -149,7 +159,7 @@
 		}
 		c.rows = append(c.rows, row)
 	}
-	c.ranks = make([]decaying, len(values))
+	c.ranks, c.longest = make([]decaying, len(values)), make([]Tenths, len(c.rows))
 }
 
 // Offer takes a call; it reports false for a bearer type that the deployment does not have.
@@ -157,7 +167,13 @@
 	if ask.Bearer < 0 || ask.Bearer >= len(c.rows) {
 		return false
 	}
-	k := &call{ask: ask, firstAt: now, gosAt: now + c.rows[ask.Bearer].gosTarget, abandonAt: now + ask.TTL}
+	c.notice(now)
+	waited := Tenths(0) // calls that came during a stall are handed over when it ends; the time they lack tells
+	if c.longest[ask.Bearer] = max(c.longest[ask.Bearer], ask.TTL); c.stalled == now && !ask.Transit {
+		waited = min(c.stallFor, c.longest[ask.Bearer]-ask.TTL)
+	}
+	k := &call{ask: ask, firstAt: now - waited, abandonAt: now + ask.TTL}
+	k.gosAt = k.firstAt + c.rows[ask.Bearer].gosTarget
 	c.calls[ask.ID] = k
 	c.recognise(now, k)
 	if !ask.Transit {
@@ -176,6 +192,10 @@
 	if k.ask.Transit || k.ask.Cut {
 		return
 	}
+	if k.late = now >= k.gosAt; k.late {
+		k.gosAt = now + c.rows[k.ask.Bearer].gosTarget
+		return
+	}
 	for len(c.forget) > 0 && now-c.turned[c.forget[0]] > c.patience {
 		delete(c.turned, c.forget[0])
 		c.forget = c.forget[1:]
@@ -330,7 +350,7 @@
 		}
 	}
 	if f.waiting = open; len(open) > 0 {
-		worst = max(worst, ageWeight*float64(now-open[0].sentAt)+float64(len(open)-1)*eachAdds*float64(c.tightest))
+		worst = max(worst, ageWeight*float64(now-max(c.stalled, open[0].sentAt))+float64(len(open)-1)*eachAdds*float64(c.tightest))
 	}
 	return Tenths(worst)
 }
@@ -423,13 +443,28 @@
 	k.state = s
 }
 
+// beat asks to be woken at short intervals, so that notice can tell when this controller itself was held up.
+func (c *Controller) beat(now Tenths) {
+	c.beatDue = now + beatEvery
+	c.out.Wake(c.beatDue, beatToken)
+}
+
+// notice finds a stall of this very controller: the beat is overdue. What was answered meanwhile was not late, and
+// must not count against any far end; otherwise the controller would shed for seconds after each stall.
+func (c *Controller) notice(now Tenths) {
+	if now > c.beatDue+beatEvery && c.stalled != now {
+		c.stallFor, c.stalled = now-c.beatDue, now
+	}
+}
+
 // Stands tells that a call stands.
 func (c *Controller) Stands(now Tenths, id uint32, try int) {
+	c.notice(now)
 	k := c.calls[id]
 	if k == nil || k.state != trying || try != k.tries-1 {
 		return
 	}
-	c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
+	c.answered(now, k)
 	c.become(k, standing)
 	c.overtaken(now, k)
 }
@@ -457,6 +492,7 @@
 
 // Ended tells how a route try ended; final is set when the call is over with it.
 func (c *Controller) Ended(now Tenths, id uint32, try int, sw uint32, end Ending, final bool, why Reason, wait Tenths, rep Report) {
+	c.notice(now)
 	i, ok := c.byID[sw]
 	if !ok {
 		return
@@ -525,7 +561,14 @@
 	case end == Unreached:
 		f.answers.add(now, answerHalf, float64(full))
 	default:
-		f.answers.add(now, answerHalf, float64(now-k.sentAt))
+		c.answered(now, k)
+	}
+}
+
+// answered takes the time of a try's answer, unless this controller was held up while it was out.
+func (c *Controller) answered(now Tenths, k *call) {
+	if k.sentAt >= c.stalled {
+		c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
 	}
 }
 
@@ -553,9 +596,14 @@
 
 // Woken is called at or after a time asked for.
 func (c *Controller) Woken(now Tenths, token uint64) {
-	if token == followToken {
+	c.notice(now)
+	switch token {
+	case followToken:
 		c.out.Follow()
 		return
+	case beatToken:
+		c.beat(now)
+		return
 	}
 	if k := c.calls[uint32(token)]; k != nil && k.state == resting && now >= k.readyAt {
 		c.place(now, k)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -170,6 +170,23 @@
 	}
 }
 
+func TestOwnStallIsNotHeldAgainstFarEnds(t *testing.T) {
+	r := town(2, 50)
+	r.offer(ask(1, 0, 1))
+	r.now += 20000 // nothing reaches this controller for two seconds, then all at once
+	r.stand(1)
+	if e := r.c.expects(r.now, &r.c.far[r.c.byID[101]]); e > 0 {
+		t.Fatalf("expects %d after a stall of its own", e)
+	}
+	r.pass(100)
+	late := ask(2, 0, 1)
+	late.TTL -= 20000 // it came early in the stall, so it has the standing of a late redial
+	r.now += 25000
+	r.group(101, 4, 50)
+	expect(t, r, r.offer(late), "block")
+	expect(t, r, r.offer(ask(3, 0, 1)), "send 101")
+}
+
 func TestUnreachableDestinationIsNotTriedAgain(t *testing.T) {
 	r := town(3, 50)
 	expect(t, r, r.offer(ask(1, 0, 1)), "send 101")
