--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,8 @@
 
 	backRest = Tenths(30000) // a tandem that turned a call back is not asked for that destination again for so long
 
+	newer = 0.7 // what earlier answers still weigh after each later one
+
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
 
 	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
@@ -568,6 +570,8 @@
 // answered takes the time of a try's answer, unless this controller was held up while it was out.
 func (c *Controller) answered(now Tenths, k *call) {
 	if k.sentAt >= c.stalled {
+		a := &c.far[k.far].answers
+		a.n, a.x, a.xx = a.n*newer, a.x*newer, a.xx*newer
 		c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
 	}
 }
@@ -681,11 +685,14 @@
 	return s.read(now, half) * math.Ln2 / (float64(half) / 10000)
 }
 
-// quantile is the mean and some deviations; evidence that fades loses its say against a small prior of prompt answers.
+// quantile is the mean and some deviations; evidence that fades loses its say.
 func (s *decaying) quantile(now Tenths) float64 {
-	n := s.read(now, answerHalf) + emptyPrior
+	n := s.read(now, answerHalf)
+	if n <= 0 {
+		return 0
+	}
 	mean := s.x / n
-	return mean + spread*math.Sqrt(max(0, s.xx/n-mean*mean))
+	return (mean + spread*math.Sqrt(max(0, s.xx/n-mean*mean))) * n / (n + emptyPrior)
 }
 
 func fade(age, half Tenths) float64 { return math.Exp2(-float64(age) / float64(half)) }
