--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,8 @@
 
 	newer = 0.7 // what earlier answers still weigh after each later one
 
+	trickleEvery = Tenths(7000) // a shed far end is asked this often, to learn of its recovery
+
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
 
 	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
@@ -93,6 +95,7 @@
 	holdBack   float64
 	reportedAt Tenths
 	sends      decaying
+	sentAt     Tenths  // last send
 	budget     float64 // set-ups a cold switch may still be sent
 	budgetAt   Tenths
 	waiting    []pending
@@ -308,7 +311,7 @@
 // through is the dearest part of the traffic, as large as the processors can still serve in time.
 func (c *Controller) worthTheWork(now Tenths, k *call, dest int) bool {
 	keep := 1 - c.held(now, &c.far[dest], k)
-	if keep >= 1 {
+	if keep >= 1 || c.trickles(now, k, &c.far[dest]) {
 		return true
 	}
 	all := c.offers.read(now, offerHalf)
@@ -327,6 +330,12 @@
 	return above+own <= keep || own > 0 && c.draw() < (keep-above)/own
 }
 
+// trickles lets a call of the dearest kind through to a shed far end that owes no answer and was not asked for a
+// while, so that a recovery is learnt of even where shedding stops all else.
+func (c *Controller) trickles(now Tenths, k *call, f *farEnd) bool {
+	return c.rank(k) == 0 && len(f.waiting) == 0 && now-f.sentAt > trickleEvery
+}
+
 // held is the share of new set-ups that should not go to a far end now.
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
@@ -414,6 +423,7 @@
 	}
 	f.sends.add(now, offerHalf, 1)
 	f.free -= k.ask.Width
+	f.sentAt = now
 	f.waiting = append(f.waiting, pending{k.ask.ID, now})
 	k.far, k.sentAt, k.tandem = to, now, f.number != k.ask.Dest
 	k.tries++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -187,6 +187,27 @@
 	expect(t, r, r.offer(ask(3, 0, 1)), "send 101")
 }
 
+func TestTrickleLearnsOfRecovery(t *testing.T) {
+	r := town(2, 200)
+	for id := uint32(0); id < 10; id++ {
+		r.offer(ask(id, 1, 1))
+		r.pass(100)
+	}
+	r.pass(12000) // all that was sent has timed out
+	n := len(r.sent)
+	for id := uint32(20); id < 40; id++ {
+		r.offer(ask(id, 1, 1))
+		if h := r.calls[id]; h.out != nil {
+			r.pass(500)
+			r.stand(id)
+		}
+		r.pass(1000)
+	}
+	if len(r.sent)-n < 12 || len(r.broken) > 0 {
+		t.Fatalf("%d of 20 calls sent in the two seconds after a jam; broken %v", len(r.sent)-n, r.broken)
+	}
+}
+
 func TestUnreachableDestinationIsNotTriedAgain(t *testing.T) {
 	r := town(3, 50)
 	expect(t, r, r.offer(ask(1, 0, 1)), "send 101")
