--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,8 +37,8 @@
 
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
 
-	coldDepth = 0.25 // share of the fall window whose budget may be spent at once
-	coldFloor = 1.0  // set-ups a second towards a cold switch when nothing is known of its traffic
+	coldDepth = 0.5 // share of the fall window whose budget may be spent at once
+	coldFloor = 1.0 // set-ups a second towards a cold switch when nothing is known of its traffic
 )
 
 // callState names where a call is in its life; become is the one place that changes it.
@@ -113,7 +113,8 @@
 	serving  map[int]int // number of an exchange or pool: index of the switch that serves it now
 	tandems  map[int]int // destination: index of the tandem remembered
 	offers   decaying
-	ranks    []decaying // offered calls by place in the order of revenue
+	asked    map[int]*decaying // first calls by destination
+	ranks    []decaying        // offered calls by place in the order of revenue
 	calls    map[uint32]*call
 	turned   map[uint64]Tenths // number called: when a caller turned away first asked for it
 	longest  []Tenths          // the longest time a caller gave a try, by bearer type
@@ -134,7 +135,7 @@
 // New returns a controller at the moment its process starts.
 func New(d Deployment, out Exchange, now Tenths) *Controller {
 	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
-		serving: map[int]int{}, tandems: map[int]int{}, calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
+		serving: map[int]int{}, tandems: map[int]int{}, asked: map[int]*decaying{}, calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
 	c.rankBearers()
 	if d.ListAsked {
 		c.out.Follow()
@@ -184,6 +185,12 @@
 	if !ask.Transit {
 		c.offers.add(now, offerHalf, 1)
 		c.ranks[c.rank(k)].add(now, offerHalf, 1)
+		if c.asked[ask.Dest] == nil {
+			c.asked[ask.Dest] = &decaying{}
+		}
+		if !k.late {
+			c.asked[ask.Dest].add(now, offerHalf, 1)
+		}
 	}
 	c.place(now, k)
 	return true
@@ -378,9 +385,10 @@
 	return f.bootAt > 0 && now < f.bootAt+c.d.RampTime
 }
 
-// coldRoom tells whether the budget of a cold switch has room for one more set-up. This exchange's part is what it
-// sends to a fellow of the same kind, scaled by the strength a cold switch has at least; all controllers doing
-// so stay under the fall limit, which is a multiple of that strength. Refused set-ups were counted when sent.
+// coldRoom tells whether the budget of a cold switch has room for one more set-up. What callers here ask of it, or of a
+// warm fellow on average, is this exchange's share of what such a switch can do, with room to spare, since half of a
+// processor's work is its own exchange's calls; the fall multiple times that, at the strength reached so far, is this exchange's share of the
+// budget. Refused set-ups were counted when sent.
 func (c *Controller) coldRoom(now Tenths, f *farEnd) bool {
 	if !c.cold(now, f) {
 		return true
@@ -393,7 +401,10 @@
 		}
 	}
 	rate := max(coldFloor, total/float64(max(1, fellows)))
-	rate *= c.d.ColdFrom + (1-c.d.ColdFrom)*float64(now-f.bootAt)/float64(c.d.RampTime)
+	if a := c.asked[f.number]; a != nil {
+		rate = max(rate, a.rate(now, offerHalf))
+	}
+	rate *= c.d.FallMultiple * (c.d.ColdFrom + (1-c.d.ColdFrom)*float64(now-f.bootAt)/float64(c.d.RampTime))
 	most := max(1, rate*coldDepth*float64(c.d.FallWindow)/10000)
 	f.budget = min(most, f.budget+rate*float64(now-f.budgetAt)/10000)
 	f.budgetAt = now
