--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -61,10 +61,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := binary.LittleEndian.Uint32(out[4:]); n != 2 || out[8] != acAs || out[32] != acAssign {
+	// the instance is named, then asks for its first beat, then sends
+	if n := binary.LittleEndian.Uint32(out[4:]); n != 3 || out[8] != acAs || out[32] != acArm || out[56] != acAssign {
 		t.Fatalf("reply of %d records: % x", n, out)
 	}
-	if call, to := u32(out[33:]), u32(out[37:]); call != 77 || to != 501 {
+	if call, to := u32(out[57:]), u32(out[61:]); call != 77 || to != 501 {
 		t.Fatalf("call %d sent to %d", call, to)
 	}
 }
