--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,8 @@
 
 	newer = 0.7 // what earlier answers still weigh after each later one
 
+	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
+
 	trickleEvery = Tenths(7000) // a shed far end is asked this often, to learn of its recovery
 
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
@@ -53,19 +55,19 @@
 )
 
 type call struct {
-	ask        Call
-	state      callState
-	firstAt    Tenths // when the caller first asked, as far as known
-	gosAt      Tenths // worth trying until then
-	late       bool   // a redial that can earn the late share alone
-	abandonAt  Tenths
-	tries      int
-	far        int // index of the switch of the present try
-	tandem     bool
-	lost       bool // a later try to the same switch was answered first
-	turnedBack bool // a tandem could not pass it on: a second costs three processors work for little
-	sentAt     Tenths
-	readyAt    Tenths // no send before: the release time of the last try
+	ask       Call
+	state     callState
+	firstAt   Tenths // when the caller first asked, as far as known
+	gosAt     Tenths // worth trying until then
+	late      bool   // a redial that can earn the late share alone
+	abandonAt Tenths
+	tries     int
+	far       int // index of the switch of the present try
+	tandem    bool
+	noDirect  bool // the direct route could not take it
+	lost      bool // a later try to the same switch was answered first
+	sentAt    Tenths
+	readyAt   Tenths // no send before: the release time of the last try
 }
 
 // bearerRow is what the module reads of a bearer type.
@@ -230,11 +232,11 @@
 func (c *Controller) place(now Tenths, k *call) {
 	dest, known := c.serving[k.ask.Dest]
 	if !known || now >= k.abandonAt {
-		c.giveUp(now, k, 0)
+		c.giveUp(now, k, false)
 		return
 	}
 	if !c.worthTheWork(now, k, dest) {
-		c.giveUp(now, k, c.d.ComeBackMost)
+		c.giveUp(now, k, true)
 		return
 	}
 	spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
@@ -242,14 +244,14 @@
 	if k.ask.Transit || k.late {
 		direct = spare >= reserveStart+transitExtra
 	}
-	if direct && !k.turnedBack && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
+	if direct && !k.noDirect && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
 		return
 	}
 	if k.ask.Transit { // to its destination or back
-		c.giveUp(now, k, 0)
+		c.giveUp(now, k, false)
 		return
 	}
-	if !k.turnedBack && !k.late && now < k.gosAt {
+	if !k.late && now < k.gosAt {
 		t, ok := c.tandems[k.ask.Dest]
 		if !ok || !c.tandemFits(now, k, t, dest) {
 			t, ok = c.drawTandem(now, k, dest)
@@ -261,7 +263,7 @@
 			}
 		}
 	}
-	c.giveUp(now, k, 0)
+	c.giveUp(now, k, false)
 }
 
 // patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were lost lately
@@ -444,13 +446,18 @@
 	return true
 }
 
-// giveUp gives a call its final answer at once.
-func (c *Controller) giveUp(now Tenths, k *call, comeBack Tenths) {
+// giveUp gives a call its final answer at once. Where a processor is pressed, the caller is told to come back when
+// the line there should have been worked off.
+func (c *Controller) giveUp(now Tenths, k *call, pressed bool) {
 	c.become(k, over)
 	if now >= k.abandonAt {
 		c.out.Abort(k.ask.ID)
 		return
 	}
+	comeBack := Tenths(0)
+	if dest, ok := c.serving[k.ask.Dest]; ok && pressed {
+		comeBack = min(c.d.ComeBackMost, comeBackLater*c.expects(now, &c.far[dest]))
+	}
 	c.out.Block(k.ask.ID, comeBack)
 }
 
@@ -544,28 +551,23 @@
 			delete(c.tandems, k.ask.Dest)
 		}
 		if k.readyAt >= min(k.abandonAt, k.gosAt) { // no further try can serve this caller in time
-			c.giveUp(now, k, 0)
+			c.giveUp(now, k, false)
 			return
 		}
 		c.become(k, resting)
 		c.out.Wake(k.readyAt, uint64(id))
 	case Faulted:
-		c.giveUp(now, k, 0)
+		c.giveUp(now, k, false)
 	default: // it never ran
 		if why == ProcessorFull || why == DestFull {
-			c.giveUp(now, k, c.d.ComeBackMost)
-			return
-		}
-		if end == Unreached && !k.tandem { // nobody reaches a destination that is down
-			c.giveUp(now, k, c.d.ComeBackMost)
+			c.giveUp(now, k, true)
 			return
 		}
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
-			k.turnedBack = true
 			f.backAt[k.ask.Dest] = now
-		} else if end == Unsent {
-			f.free = 0
+		} else {
+			k.noDirect = true
 		}
 		c.place(now, k)
 	}
