--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,9 @@
 
 	newer = 0.7 // what earlier answers still weigh after each later one
 
+	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
+	commonFrom = 3   // far ends heard of, for what they share to mean something
+
 	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
 
 	trickleEvery = Tenths(7000) // a shed far end is asked this often, to learn of its recovery
@@ -124,6 +127,8 @@
 	patience Tenths            // the longest that a caller keeps trying
 	tightest Tenths            // the least GoS target
 	followIn Tenths
+	commonAt Tenths
+	commonIs Tenths
 	beatDue  Tenths // when the next beat must come
 	stalled  Tenths // end of the last stall of this controller
 	stallFor Tenths
@@ -351,11 +356,32 @@
 	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
 		scale = min(scale, 2*float64(c.d.Resend))
 	}
-	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
+	late := (float64(max(c.expects(now, f), c.common(now)))/scale - shedFrom) / (shedAll - shedFrom)
 	asked := f.holdBack * fade(now-f.reportedAt, reportHalf)
 	return min(1, max(0, late, asked))
 }
 
+// common is the median of what is expected of the far ends heard of lately. Where most look late together,
+// the own processor or all of them are pressed, and a far end that was not asked of late will be no better. It guards
+// against slowdowns of everything, which one or two answers a second a pair tell too late; it could do harm where most
+// far ends are slow and the own exchange calls the others.
+func (c *Controller) common(now Tenths) Tenths {
+	if c.commonAt != now {
+		c.commonAt, c.commonIs = now, 0
+		var seen []Tenths
+		for i := range c.far {
+			if f := &c.far[i]; f.ready && (f.answers.read(now, answerHalf) > heardOf || len(f.waiting) > 0) {
+				seen = append(seen, c.expects(now, f))
+			}
+		}
+		if len(seen) >= commonFrom {
+			sort.Slice(seen, func(i, j int) bool { return seen[i] < seen[j] })
+			c.commonIs = seen[len(seen)/2]
+		}
+	}
+	return c.commonIs
+}
+
 // expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or what the
 // tries still unanswered tell by their age and number, whichever is worst. A hung switch answers nothing and a slow
 // one answers seconds late; at one or two calls a second the unanswered tries are the first sign of either. The sign
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -209,6 +209,28 @@
 	}
 }
 
+func TestWhatMostFarEndsShareCountsForTheRest(t *testing.T) {
+	r := town(6, 200)
+	late := func(dest int) Tenths {
+		f := &r.c.far[r.c.byID[uint32(100+dest)]]
+		return max(r.c.expects(r.now, f), r.c.common(r.now))
+	}
+	for dest := 1; dest < 3; dest++ {
+		r.offer(ask(uint32(dest), 1, dest))
+	}
+	r.pass(6000)
+	if late(5) > 0 {
+		t.Fatalf("two late far ends count %d against another", late(5))
+	}
+	for dest := 3; dest < 5; dest++ {
+		r.offer(ask(uint32(dest), 1, dest))
+	}
+	r.pass(5000)
+	if late(5) < 7000 {
+		t.Fatalf("four late far ends count %d against another", late(5))
+	}
+}
+
 func TestLeastRevenueIsShedFirst(t *testing.T) {
 	r := town(3, 200)
 	sent := [2]int{}
