--- a/internal/wire/info.go
+++ b/internal/wire/info.go
@@ -10,8 +10,7 @@
 
 // launchInfo holds the keys read from an instance's first message; all others are ignored.
 type launchInfo struct {
-	Replicas int `json:"replicas_of_me"`
-	Grades   []struct {
+	Grades []struct {
 		Aim, Deadline, Worth float64
 		LateWorth            float64 `json:"late_worth"`
 	}
@@ -19,7 +18,6 @@
 	FamilyInfo struct {
 		ClassCells   [][]int `json:"class_cells"`
 		ClassWidth   []int   `json:"class_width"`
-		Holding      []float64
 		ReleaseGuard float64 `json:"release_guard"`
 		Retransmit   float64
 		SelfNo       *int `json:"self_no"`
@@ -28,7 +26,6 @@
 	LoadReport struct{ Names []string } `json:"load_report"`
 	Limits     struct {
 		Cancel        bool
-		Probes        bool
 		MaxAttempts   int     `json:"max_attempts"`
 		RetryAfter    bool    `json:"retry_after"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
@@ -53,12 +50,12 @@
 		return policy.Deployment{}, nil, fmt.Errorf("settings name no bearer type")
 	}
 	d := policy.Deployment{
-		Own: -1, Controllers: max(1, l.Replicas), Pools: l.FamilyInfo.Shape == "pools",
+		Own: -1, Pools: l.FamilyInfo.Shape == "pools",
 		MaxTries: l.Limits.MaxAttempts, ReleaseTime: span10(l.FamilyInfo.ReleaseGuard),
 		Resend: span10(l.FamilyInfo.Retransmit), DrainGrace: span10(l.Rules.StopSendingWithin),
 		ColdFrom: l.Rules.ColdFrom, RampTime: span10(l.Rules.RampTime), FallMultiple: l.Rules.TipMultiple,
 		FallWindow: span10(l.Rules.TipAfter), ListAsked: l.Discovery == "subscribe",
-		AskWithin: span10(l.Rules.AskWithin), ProbesAllowed: l.Limits.Probes, CancelsAllowed: l.Limits.Cancel,
+		AskWithin: span10(l.Rules.AskWithin), CancelsAllowed: l.Limits.Cancel,
 	}
 	if l.FamilyInfo.SelfNo != nil {
 		d.Own = *l.FamilyInfo.SelfNo
@@ -72,9 +69,6 @@
 		if i < len(l.FamilyInfo.ClassWidth) {
 			b.Width = max(1, l.FamilyInfo.ClassWidth[i])
 		}
-		if i < len(l.FamilyInfo.Holding) {
-			b.Holding = span10(l.FamilyInfo.Holding[i])
-		}
 		if i < len(l.FamilyInfo.ClassCells) {
 			b.Pools = l.FamilyInfo.ClassCells[i]
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -298,7 +298,7 @@
 }
 
 func (in *instance) report(b []byte) (policy.Report, error) {
-	r := policy.Report{Free: -1, Size: -1, Wait: -1, HoldBack: -1, Queue: -1, Busy: -1, Rate: -1}
+	r := policy.Report{Free: -1, Size: -1, Wait: -1, HoldBack: -1}
 	n := int(b[0])
 	if n > 4 {
 		return r, fmt.Errorf("load report of %d values", n)
@@ -317,12 +317,6 @@
 			r.Wait = tenths(v)
 		case "hold_back":
 			r.HoldBack = v
-		case "waiting":
-			r.Queue = v
-		case "cpu":
-			r.Busy = v
-		case "can_take":
-			r.Rate = v
 		}
 	}
 	return r, nil
--- a/policy/exchange.go
+++ b/policy/exchange.go
@@ -31,9 +31,6 @@
 	Free, Size int
 	Wait       Tenths  // wait at its processor
 	HoldBack   float64 // share of new set-ups it asks to be held back
-	Queue      float64 // messages waiting there
-	Busy       float64 // share of its processor in use
-	Rate       float64 // set-ups a second it can take from everyone
 }
 
 // Ending tells how a route try ended.
@@ -69,7 +66,6 @@
 	GoSTarget Tenths
 	Abandon   Tenths // callers keep trying this long
 	Width     int
-	Holding   Tenths
 	Pools     []int // pools that may serve it, empty when any may
 }
 
@@ -77,7 +73,6 @@
 type Deployment struct {
 	Seed           uint64
 	Own            int // number of the own exchange, -1 with pools
-	Controllers    int
 	Pools          bool
 	Bearers        []Bearer
 	MaxTries       int
@@ -91,7 +86,6 @@
 	FallWindow     Tenths
 	ListAsked      bool   // the list comes only when followed
 	AskWithin      Tenths // how often it must at least be asked for
-	ProbesAllowed  bool
 	CancelsAllowed bool
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,10 @@
 // Package policy decides every call of one exchange: admit, route, try again, turn away.
 //
-// A caller makes a Controller with New and tells it what happens: Offer for a new call, Stands and Ended for its
-// route tries, CallerLeft, Circuits, Listed, ListLost, Woken. Each may act at once through the Exchange it was given.
-// The interface, both what is told and what can be done, is in exchange.go. The module knows no wire and no clock:
-// every entry point is handed the present time. docs/design.md names each departure from the design page.
+// A caller makes a Controller with New and tells it what happens: Offer for a new call, Stands and Ended
+// for its route tries, CallerLeft, Circuits, Listed, ListLost, Woken. Each may act at once through the
+// Exchange it was given. The interface, both what is told and what can be done, is in exchange.go. The
+// module knows no wire and no clock: every entry point is handed the present time. docs/design.md names
+// each departure from the design page.
 package policy
 
 import (
@@ -15,11 +16,11 @@
 	reserveStart = 2 // circuits kept for the protected bearer types, the paper's best setting
 	transitExtra = 2 // and so many more must stay free behind a call over a tandem
 
-	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end at ordinary traffic
+	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end
 	reportHalf = Tenths(20000) // half-life of a reported wait, a few report periods
 	offerHalf  = Tenths(80000) // half-life of traffic counts, longer than any burst between two calls
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
-	spread     = 0.7           // deviations above the mean: the upper quartile of answer times; few answers make more a lottery
+	spread     = 0.7           // deviations above the mean: the upper quartile of answer times
 
 	ageWeight = 1.5  // an unanswered try is so much worse than its age, as it is not done yet
 	eachAdds  = 0.15 // of the tightest GoS target: what each further unanswered try at the same switch adds
@@ -29,7 +30,7 @@
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
-	backRest = Tenths(30000) // a tandem that turned a call back is not asked for that destination again for so long
+	backRest = Tenths(30000) // a tandem that turned a call back is not asked again for that destination
 
 	newer = 0.7 // what earlier answers still weigh after each later one
 
@@ -142,7 +143,8 @@
 // New returns a controller at the moment its process starts.
 func New(d Deployment, out Exchange, now Tenths) *Controller {
 	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
-		serving: map[int]int{}, tandems: map[int]int{}, asked: map[int]*decaying{}, calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
+		serving: map[int]int{}, tandems: map[int]int{}, asked: map[int]*decaying{},
+		calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
 	c.rankBearers()
 	if d.ListAsked {
 		c.out.Follow()
@@ -151,8 +153,8 @@
 	return c
 }
 
-// rankBearers orders bearer types and their redials by what a call still earns, and protects the dearest types.
-// A redial mostly comes after the GoS target of its first try, so it is worth the late share.
+// rankBearers orders bearer types and their redials by what a call still earns, and protects the dearest
+// types. A redial mostly comes after the GoS target of its first try, so it is worth the late share.
 func (c *Controller) rankBearers() {
 	var values []float64
 	dearest := 0.0
@@ -203,10 +205,11 @@
 	return true
 }
 
-// recognise finds out whether a call is a redial that comes too late for the GoS target of its caller's first try.
-// Where callers do not mark their redials, or the mark does not say when the first try was, the number called tells:
-// asked for again soon after it was turned away here. It guards against redials crowding out first calls; it could
-// do harm where many callers ask for one number, of whom all but the first would wait behind first calls.
+// recognise finds out whether a call is a redial that comes too late for the GoS target of its caller's
+// first try. Where callers do not mark their redials, or the mark does not say when the first try was, the
+// number called tells: asked for again soon after it was turned away here. It guards against redials
+// crowding out first calls; it could do harm where many callers ask for one number, of whom all but the
+// first would wait behind first calls.
 func (c *Controller) recognise(now Tenths, k *call) {
 	if k.ask.Transit || k.ask.Cut {
 		return
@@ -271,8 +274,9 @@
 	c.giveUp(now, k, false)
 }
 
-// patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were lost lately
-// and answers else come well within that, short enough to leave room for the release time and one more try.
+// patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were
+// lost lately and answers else come well within that, short enough to leave room for the release time and
+// one more try.
 func (c *Controller) patienceWith(now Tenths, k *call, to int) Tenths {
 	f, left := &c.far[to], k.gosAt-now
 	again := (left - c.d.ReleaseTime) / 2
@@ -321,8 +325,8 @@
 	return len(pools) == 0
 }
 
-// worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is let
-// through is the dearest part of the traffic, as large as the processors can still serve in time.
+// worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is
+// let through is the dearest part of the traffic, as large as the processors can still serve in time.
 func (c *Controller) worthTheWork(now Tenths, k *call, dest int) bool {
 	keep := 1 - c.held(now, &c.far[dest], k)
 	if keep >= 1 || c.trickles(now, k, &c.far[dest]) {
@@ -344,8 +348,8 @@
 	return above+own <= keep || own > 0 && c.draw() < (keep-above)/own
 }
 
-// trickles lets a call of the dearest kind through to a shed far end that owes no answer and was not asked for a
-// while, so that a recovery is learnt of even where shedding stops all else.
+// trickles lets a call of the dearest kind through to a shed far end that owes no answer and was not asked
+// for a while, so that a recovery is learnt of even where shedding stops all else.
 func (c *Controller) trickles(now Tenths, k *call, f *farEnd) bool {
 	return c.rank(k) == 0 && len(f.waiting) == 0 && now-f.sentAt > trickleEvery
 }
@@ -362,9 +366,9 @@
 }
 
 // common is the median of what is expected of the far ends heard of lately. Where most look late together,
-// the own processor or all of them are pressed, and a far end that was not asked of late will be no better. It guards
-// against slowdowns of everything, which one or two answers a second a pair tell too late; it could do harm where most
-// far ends are slow and the own exchange calls the others.
+// the own processor or all of them are pressed, and a far end that was not asked of late will be no
+// better. It guards against slowdowns of everything, which one or two answers a second a pair tell too
+// late; it could do harm where most far ends are slow and the own exchange calls the others.
 func (c *Controller) common(now Tenths) Tenths {
 	if c.commonAt != now {
 		c.commonAt, c.commonIs = now, 0
@@ -382,25 +386,35 @@
 	return c.commonIs
 }
 
-// expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or what the
-// tries still unanswered tell by their age and number, whichever is worst. A hung switch answers nothing and a slow
-// one answers seconds late; at one or two calls a second the unanswered tries are the first sign of either. The sign
-// misleads for a moment after a burst of calls to one switch.
+// expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or
+// what the tries still unanswered tell by their age and number, whichever is worst. A hung switch answers
+// nothing and a slow one answers seconds late; at one or two calls a second the unanswered tries are the
+// first sign of either. The sign misleads for a moment after a burst of calls to one switch.
 func (c *Controller) expects(now Tenths, f *farEnd) Tenths {
 	worst := f.answers.quantile(now)
 	worst = max(worst, float64(f.wait)*fade(now-f.reportedAt, reportHalf))
 	open := f.waiting[:0]
 	for _, p := range f.waiting {
-		if k := c.calls[p.id]; k != nil && k.state == trying && k.sentAt == p.sentAt && &c.far[k.far] == f && !k.lost {
+		if c.unanswered(f, p) != nil {
 			open = append(open, p)
 		}
 	}
 	if f.waiting = open; len(open) > 0 {
-		worst = max(worst, ageWeight*float64(now-max(c.stalled, open[0].sentAt))+float64(len(open)-1)*eachAdds*float64(c.tightest))
+		age, more := now-max(c.stalled, open[0].sentAt), float64(len(open)-1)
+		worst = max(worst, ageWeight*float64(age)+more*eachAdds*float64(c.tightest))
 	}
 	return Tenths(worst)
 }
 
+// unanswered is the call of a route try that is out to a switch and not taken as lost, else nil.
+func (c *Controller) unanswered(f *farEnd, p pending) *call {
+	k := c.calls[p.id]
+	if k == nil || k.state != trying || k.sentAt != p.sentAt || &c.far[k.far] != f || k.lost {
+		return nil
+	}
+	return k
+}
+
 func (c *Controller) rank(k *call) int {
 	if k.late {
 		return c.rows[k.ask.Bearer].rank[1]
@@ -413,10 +427,11 @@
 	return f.bootAt > 0 && now < f.bootAt+c.d.RampTime
 }
 
-// coldRoom tells whether the budget of a cold switch has room for one more set-up. What callers here ask of it, or of a
-// warm fellow on average, is this exchange's share of what such a switch can do, with room to spare, since half of a
-// processor's work is its own exchange's calls; the fall multiple times that, at the strength reached so far, is this exchange's share of the
-// budget. Refused set-ups were counted when sent.
+// coldRoom tells whether the budget of a cold switch has room for one more set-up. What callers here ask
+// of it, or of a warm fellow on average, is this exchange's share of what such a switch can do, with room
+// to spare, since half of a processor's work is its own exchange's calls. The fall multiple times that, at
+// the strength reached so far, is this exchange's share of the budget. Refused set-ups were counted when
+// sent.
 func (c *Controller) coldRoom(now Tenths, f *farEnd) bool {
 	if !c.cold(now, f) {
 		return true
@@ -439,7 +454,8 @@
 	return f.budget >= 1
 }
 
-// send is the guard that every route try passes; it knows the five rules and tells whether the try went out.
+// send is the guard that every route try passes; it knows the five rules and tells whether the try went
+// out.
 func (c *Controller) send(now Tenths, k *call, to int, limit Tenths) bool {
 	f := &c.far[to]
 	limit = min(limit, k.abandonAt-now)
@@ -472,8 +488,8 @@
 	return true
 }
 
-// giveUp gives a call its final answer at once. Where a processor is pressed, the caller is told to come back when
-// the line there should have been worked off.
+// giveUp gives a call its final answer at once. Where a processor is pressed, the caller is told to come
+// back when the line there should have been worked off.
 func (c *Controller) giveUp(now Tenths, k *call, pressed bool) {
 	c.become(k, over)
 	if now >= k.abandonAt {
@@ -499,14 +515,16 @@
 	k.state = s
 }
 
-// beat asks to be woken at short intervals, so that notice can tell when this controller itself was held up.
+// beat asks to be woken at short intervals, so that notice can tell when this controller itself was held
+// up.
 func (c *Controller) beat(now Tenths) {
 	c.beatDue = now + beatEvery
 	c.out.Wake(c.beatDue, beatToken)
 }
 
-// notice finds a stall of this very controller: the beat is overdue. What was answered meanwhile was not late, and
-// must not count against any far end; otherwise the controller would shed for seconds after each stall.
+// notice finds a stall of this very controller: the beat is overdue. What was answered meanwhile was not
+// late, and must not count against any far end; otherwise the controller would shed for seconds after each
+// stall.
 func (c *Controller) notice(now Tenths) {
 	if now > c.beatDue+beatEvery && c.stalled != now {
 		c.stallFor, c.stalled = now-c.beatDue, now
@@ -525,17 +543,17 @@
 	c.overtaken(now, k)
 }
 
-// overtaken looks for direct tries sent to the same switch before the one just answered. A processor works in one
-// line, so their message or its answer was lost: they say nothing of the processor, and are called off where another
-// try can still meet the GoS target. It guards against links or switches that drop some messages; it would misjudge a
-// switch that does not answer in order.
+// overtaken looks for direct tries sent to the same switch before the one just answered. A processor works
+// in one line, so their message or its answer was lost: they say nothing of the processor, and are called
+// off where another try can still meet the GoS target. It guards against links or switches that drop some
+// messages; it would misjudge a switch that does not answer in order.
 func (c *Controller) overtaken(now Tenths, k *call) {
 	if k.tandem {
 		return
 	}
 	for _, p := range c.far[k.far].waiting {
-		o := c.calls[p.id]
-		if o == nil || o.state != trying || o.sentAt != p.sentAt || o.far != k.far || o.tandem || o.lost || o.sentAt >= k.sentAt {
+		o := c.unanswered(&c.far[k.far], p)
+		if o == nil || o.tandem || o.sentAt >= k.sentAt {
 			continue
 		}
 		o.lost = true
@@ -547,7 +565,8 @@
 }
 
 // Ended tells how a route try ended; final is set when the call is over with it.
-func (c *Controller) Ended(now Tenths, id uint32, try int, sw uint32, end Ending, final bool, why Reason, wait Tenths, rep Report) {
+func (c *Controller) Ended(now Tenths, id uint32, try int, sw uint32, end Ending, final bool,
+	why Reason, wait Tenths, rep Report) {
 	c.notice(now)
 	i, ok := c.byID[sw]
 	if !ok {
@@ -572,7 +591,7 @@
 	c.become(k, offered)
 	switch end {
 	case TimedOut, Cut, Cancelled:
-		k.readyAt = now + c.d.ReleaseTime
+		k.readyAt = now + c.d.ReleaseTime + 1 // times are cut to whole tenths: one more is the full wait
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -8,10 +8,10 @@
 
 // town is a mesh of n exchanges, this one being number 0, with groups of equal size.
 func town(n, size int) *rig {
-	r := newRig(Deployment{Seed: 7, Own: 0, Controllers: n, MaxTries: 4, ReleaseTime: 3000, DrainGrace: 2500,
+	r := newRig(Deployment{Seed: 7, Own: 0, MaxTries: 4, ReleaseTime: 3000, DrainGrace: 2500,
 		ColdFrom: 0.3, RampTime: 140000, FallMultiple: 3, FallWindow: 15000, ComeBackMost: 20000,
-		Bearers: []Bearer{{Revenue: 1, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1, Holding: 100000},
-			{Revenue: 5, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1, Holding: 100000}}})
+		Bearers: []Bearer{{Revenue: 1, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1},
+			{Revenue: 5, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000, Width: 1}}})
 	var list []Switch
 	for i := range n {
 		list = append(list, Switch{ID: uint32(100 + i), Number: i, Ready: true})
@@ -299,7 +299,7 @@
 }
 
 func drawDeployment(t *rapid.T) Deployment {
-	d := Deployment{Seed: rapid.Uint64().Draw(t, "seed"), Own: 0, Controllers: rapid.IntRange(1, 9).Draw(t, "controllers"),
+	d := Deployment{Seed: rapid.Uint64().Draw(t, "seed"), Own: 0,
 		Pools: rapid.Bool().Draw(t, "pools"), CancelsAllowed: rapid.Bool().Draw(t, "cancels"), MaxTries: rapid.IntRange(1, 6).Draw(t, "tries"),
 		ReleaseTime:  Tenths(rapid.IntRange(0, 6000).Draw(t, "release")),
 		Resend:       Tenths(rapid.SampledFrom([]int{0, 4000}).Draw(t, "resend")),
