--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,8 @@
 	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
 	commonFrom = 3   // far ends heard of, for what they share to mean something
 
+	cutAdds = 0.015 // of the tightest GoS target: the work that each standing call cut lately leaves behind
+
 	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
 
 	trickleEvery = Tenths(7000) // a shed far end is asked this often, to learn of its recovery
@@ -128,6 +130,7 @@
 	patience Tenths            // the longest that a caller keeps trying
 	tightest Tenths            // the least GoS target
 	followIn Tenths
+	cuts     decaying
 	commonAt Tenths
 	commonIs Tenths
 	beatDue  Tenths // when the next beat must come
@@ -365,10 +368,12 @@
 	return min(1, max(0, late, asked))
 }
 
-// common is the median of what is expected of the far ends heard of lately. Where most look late together,
-// the own processor or all of them are pressed, and a far end that was not asked of late will be no
-// better. It guards against slowdowns of everything, which one or two answers a second a pair tell too
-// late; it could do harm where most far ends are slow and the own exchange calls the others.
+// common is what every far end is expected to be, at the least: the median of those heard of lately. Where
+// most look late together, the own processor or all of them are pressed, and a far end that was not asked
+// of late will be no better. It guards against slowdowns of everything, which one or two answers a second a
+// pair tell too late; it could do harm where most far ends are slow and the own exchange calls the others.
+// Standing calls cut lately count as well: their releases and returns fill the processors before any answer
+// tells. Where releases go ahead of set-ups that sheds for a moment without need.
 func (c *Controller) common(now Tenths) Tenths {
 	if c.commonAt != now {
 		c.commonAt, c.commonIs = now, 0
@@ -383,7 +388,7 @@
 			c.commonIs = seen[len(seen)/2]
 		}
 	}
-	return c.commonIs
+	return max(c.commonIs, Tenths(c.cuts.read(now, answerHalf)*cutAdds*float64(c.tightest)))
 }
 
 // expects is the answer time to reckon with: a high quantile of late answers, the wait last reported, or
@@ -581,6 +586,9 @@
 	if k.state == trying && !k.lost && end != Unsent && end != Released {
 		c.judge(now, k, f, end, why, wait)
 	}
+	if k.state == standing && end == Cut {
+		c.cuts.add(now, answerHalf, 1)
+	}
 	if final || k.state == standing {
 		c.become(k, over)
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -231,6 +231,20 @@
 	}
 }
 
+func TestMassCutIsWorkToCome(t *testing.T) {
+	r := town(3, 200)
+	for id := uint32(0); id < 60; id++ {
+		r.offer(ask(id, 1, 1))
+		r.stand(id)
+	}
+	for id := uint32(0); id < 60; id++ {
+		r.end(id, Cut, NoReason)
+	}
+	expect(t, r, r.offer(ask(100, 0, 2)), "block") // the cheap type waits until the releases are worked off
+	r.pass(60000)
+	expect(t, r, r.offer(ask(101, 0, 2)), "send 102")
+}
+
 func TestLeastRevenueIsShedFirst(t *testing.T) {
 	r := town(3, 200)
 	sent := [2]int{}
