--- a/policy/policy.go
+++ b/policy/policy.go
@@ -242,21 +242,26 @@
 // place is the ordinary path of a call: direct, else over one tandem, else turned away.
 func (c *Controller) place(now Tenths, k *call) {
 	dest, known := c.serving[k.ask.Dest]
-	if !known || now >= k.abandonAt {
+	if !known { // with pools, one of second choice may still serve it
+		dest = -1
+	}
+	if now >= k.abandonAt || !known && !c.d.Pools {
 		c.giveUp(now, k, false)
 		return
 	}
-	if !c.worthTheWork(now, k, dest) {
+	if known && !c.worthTheWork(now, k, dest) {
 		c.giveUp(now, k, true)
 		return
 	}
-	spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
-	direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
-	if k.ask.Transit || k.late {
-		direct = spare >= reserveStart+transitExtra
-	}
-	if direct && !k.noDirect && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
-		return
+	if known && !k.noDirect {
+		spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
+		direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
+		if k.ask.Transit || k.late {
+			direct = spare >= reserveStart+transitExtra
+		}
+		if direct && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
+			return
+		}
 	}
 	if k.ask.Transit { // to its destination or back
 		c.giveUp(now, k, false)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -245,6 +245,13 @@
 	expect(t, r, r.offer(ask(101, 0, 2)), "send 102")
 }
 
+func TestPoolOfSecondChoiceServesWhereTheFirstIsGone(t *testing.T) {
+	r := town(3, 50)
+	r.c.d.Pools, r.c.d.Own = true, -1
+	r.list(false, Switch{ID: 101, Number: 1}, Switch{ID: 100, Number: 0})
+	expect(t, r, r.offer(ask(1, 0, 1)), "send 102")
+}
+
 func TestLeastRevenueIsShedFirst(t *testing.T) {
 	r := town(3, 200)
 	sent := [2]int{}
