--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -45,6 +46,8 @@
 
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
 
+	followFirst = Tenths(2500) // first wait before the list is asked for anew; it doubles
+
 	coldDepth = 0.5 // share of the fall window whose budget may be spent at once
 	coldFloor = 1.0 // set-ups a second towards a cold switch when nothing is known of its traffic
 )
@@ -118,9 +121,8 @@
 	chance   uint64
 	far      []farEnd
 	byID     map[uint32]int
-	serving  map[int]int // number of an exchange or pool: index of the switch that serves it now
-	tandems  map[int]int // destination: index of the tandem remembered
-	offers   decaying
+	serving  map[int]int       // number of an exchange or pool: index of the switch that serves it now
+	tandems  map[int]int       // destination: index of the tandem remembered
 	asked    map[int]*decaying // first calls by destination
 	ranks    []decaying        // offered calls by place in the order of revenue
 	calls    map[uint32]*call
@@ -195,7 +197,6 @@
 	c.calls[ask.ID] = k
 	c.recognise(now, k)
 	if !ask.Transit {
-		c.offers.add(now, offerHalf, 1)
 		c.ranks[c.rank(k)].add(now, offerHalf, 1)
 		if c.asked[ask.Dest] == nil {
 			c.asked[ask.Dest] = &decaying{}
@@ -298,16 +299,19 @@
 // tandemFits tells whether a switch may serve as tandem: behind the transit mark, warm and not pressed.
 func (c *Controller) tandemFits(now Tenths, k *call, t, dest int) bool {
 	f := &c.far[t]
-	if t == dest || !f.ready || f.size <= 0 || f.free-k.ask.Width < reserveStart+transitExtra || c.cold(now, f) {
+	if t == dest || c.serving[f.number] != t || c.cold(now, f) {
+		return false
+	}
+	if f.size <= 0 || f.free-k.ask.Width < reserveStart+transitExtra {
 		return false
 	}
-	if c.d.Pools && !listed(c.rows[k.ask.Bearer].pools, f.number) {
+	if pools := c.rows[k.ask.Bearer].pools; c.d.Pools && len(pools) > 0 && !slices.Contains(pools, f.number) {
 		return false
 	}
 	if back, ok := f.backAt[k.ask.Dest]; ok && now < back+backRest {
 		return false
 	}
-	return c.held(now, f, k) == 0 && c.serving[f.number] == t
+	return c.held(now, f, k) == 0
 }
 
 // drawTandem picks one of the fitting tandems at random.
@@ -324,15 +328,6 @@
 	return pick, seen > 0
 }
 
-func listed(pools []int, number int) bool {
-	for _, p := range pools {
-		if p == number {
-			return true
-		}
-	}
-	return len(pools) == 0
-}
-
 // worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is
 // let through is the dearest part of the traffic, as large as the processors can still serve in time.
 func (c *Controller) worthTheWork(now Tenths, k *call, dest int) bool {
@@ -340,19 +335,17 @@
 	if keep >= 1 || c.trickles(now, k, &c.far[dest]) {
 		return true
 	}
-	all := c.offers.read(now, offerHalf)
-	if all <= 0 {
-		return true
-	}
-	above, own := 0.0, 0.0
+	all, above, own := 0.0, 0.0, 0.0
 	for r := range c.ranks {
-		n := c.ranks[r].read(now, offerHalf) / all
+		n := c.ranks[r].read(now, offerHalf)
+		all += n
 		if r < c.rank(k) {
 			above += n
 		} else if r == c.rank(k) {
 			own = n
 		}
 	}
+	keep *= all
 	return above+own <= keep || own > 0 && c.draw() < (keep-above)/own
 }
 
@@ -389,7 +382,7 @@
 			}
 		}
 		if len(seen) >= commonFrom {
-			sort.Slice(seen, func(i, j int) bool { return seen[i] < seen[j] })
+			slices.Sort(seen)
 			c.commonIs = seen[len(seen)/2]
 		}
 	}
@@ -652,8 +645,8 @@
 func (c *Controller) answered(now Tenths, k *call) {
 	if k.sentAt >= c.stalled {
 		a := &c.far[k.far].answers
-		a.n, a.x, a.xx = a.n*newer, a.x*newer, a.xx*newer
-		c.far[k.far].answers.add(now, answerHalf, float64(now-k.sentAt))
+		a.lessen(newer)
+		a.add(now, answerHalf, float64(now-k.sentAt))
 	}
 }
 
@@ -697,7 +690,7 @@
 
 // ListLost tells that the list could not be had or the subscription broke: ask again, backing off.
 func (c *Controller) ListLost(now Tenths) {
-	c.followIn = min(max(2*c.followIn, 2500), max(2500, c.d.AskWithin/4))
+	c.followIn = min(max(2*c.followIn, followFirst), max(followFirst, c.d.AskWithin/4))
 	c.out.Wake(now+c.followIn+Tenths(c.draw()*float64(c.followIn)), followToken)
 }
 
@@ -750,12 +743,14 @@
 
 func (s *decaying) read(now, half Tenths) float64 {
 	if now > s.at {
-		by := fade(now-s.at, half)
-		s.n, s.x, s.xx, s.at = s.n*by, s.x*by, s.xx*by, now
+		s.lessen(fade(now-s.at, half))
+		s.at = now
 	}
 	return s.n
 }
 
+func (s *decaying) lessen(by float64) { s.n, s.x, s.xx = s.n*by, s.x*by, s.xx*by }
+
 func (s *decaying) add(now, half Tenths, x float64) {
 	s.read(now, half)
 	s.n, s.x, s.xx = s.n+1, s.x+x, s.xx+x*x
--- a/policy/rig_test.go
+++ b/policy/rig_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"sort"
 	"testing"
 )
 
@@ -38,6 +37,11 @@
 	told      bool // its end was reported to the controller, or given by it
 }
 
+type wake struct {
+	at    Tenths
+	token uint64
+}
+
 // rig is an exchange on paper: it carries out what the controller asks and notes every broken rule.
 type rig struct {
 	d       Deployment
@@ -47,8 +51,7 @@
 	order   []uint32
 	off     map[uint32]Tenths // switches told to drain or be gone, and when
 	named   map[uint32]int    // switches ever listed, and their numbers
-	wakes   []pending         // id unused here; sentAt is the time, tokens beside it
-	tokens  []uint64
+	wakes   []wake
 	sent    []pending // every send: switch and time
 	last    string
 	follows int
@@ -123,7 +126,7 @@
 func (r *rig) Follow()     { r.follows++ }
 func (r *rig) Note(string) {}
 func (r *rig) Wake(at Tenths, token uint64) {
-	r.wakes, r.tokens = append(r.wakes, pending{0, at}), append(r.tokens, token)
+	r.wakes = append(r.wakes, wake{at, token})
 }
 
 // offer hands the controller a call and returns what it did last.
@@ -195,31 +198,29 @@
 				h.done = true
 			}
 		}
-		due := r.tokens[:0:0]
-		var wakes []pending
-		var tokens []uint64
-		for i, w := range r.wakes {
-			if w.sentAt <= r.now {
-				due = append(due, r.tokens[i])
+		asked := r.wakes
+		r.wakes = nil
+		var due []uint64 // rung after all are sorted out, as each may ask for another
+		for _, w := range asked {
+			if w.at <= r.now {
+				due = append(due, w.token)
 			} else {
-				wakes, tokens = append(wakes, w), append(tokens, r.tokens[i])
+				r.wakes = append(r.wakes, w)
 			}
 		}
-		r.wakes, r.tokens = wakes, tokens
 		for _, token := range due {
 			r.c.Woken(r.now, token)
 		}
 	}
 }
 
-// open lists the calls with a try out, in order of id.
+// open lists the calls with a try out, in the order offered.
 func (r *rig) open() []uint32 {
 	var ids []uint32
-	for id, h := range r.calls {
-		if h.out != nil {
+	for _, id := range r.order {
+		if r.calls[id].out != nil {
 			ids = append(ids, id)
 		}
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	return ids
 }
