Thin groups keep one circuit: the reserve is the paper's two of eight, never under 1

Cause: at full size a group holds four to six circuits; a fixed reserve of 2 and the transit mark of 4 close most of it to ordinary and transit calls. The paper's best setting kept 2 of 8, so a smaller group now keeps the same share.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 
 const (
 	reserveStart = 2 // circuits kept for the protected bearer types, the paper's best setting
+	reserveOf    = 8 // in that setting they are kept of so many
 	transitExtra = 2 // and so many more must stay free behind a call over a tandem
 
 	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end
@@ -256,9 +257,9 @@
 	}
 	if known && !k.noDirect {
 		spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
-		direct := spare >= reserveStart || spare >= 0 && c.rows[k.ask.Bearer].protected
+		direct := spare >= c.far[dest].reserve() || spare >= 0 && c.rows[k.ask.Bearer].protected
 		if k.ask.Transit || k.late {
-			direct = spare >= reserveStart+transitExtra
+			direct = spare >= c.far[dest].reserve()+transitExtra
 		}
 		if direct && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
 			return
@@ -283,6 +284,12 @@
 	c.giveUp(now, k, false)
 }
 
+// reserve is what a group keeps for the protected bearer types: the paper's 2 circuits of 8, and of a smaller
+// group the same share, but never under 1.
+func (f *farEnd) reserve() int {
+	return min(reserveStart, max(1, f.size*reserveStart/reserveOf))
+}
+
 // patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were
 // lost lately and answers else come well within that, short enough to leave room for the release time and
 // one more try.
@@ -302,7 +309,7 @@
 	if t == dest || c.serving[f.number] != t || c.cold(now, f) {
 		return false
 	}
-	if f.size <= 0 || f.free-k.ask.Width < reserveStart+transitExtra {
+	if f.size <= 0 || f.free-k.ask.Width < f.reserve()+transitExtra {
 		return false
 	}
 	if pools := c.rows[k.ask.Bearer].pools; c.d.Pools && len(pools) > 0 && !slices.Contains(pools, f.number) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+func TestThinGroupKeepsOneCircuit(t *testing.T) {
+	r := town(2, 4)
+	for _, c := range []struct {
+		free int
+		want string
+	}{{2, "send 101"}, {1, "block"}} {
+		r.group(101, c.free, 4)
+		expect(t, r, r.offer(ask(uint32(c.free), 0, 1)), c.want)
+	}
+}
+
 func TestTransitMark(t *testing.T) {
 	for _, c := range []struct {
 		free int
