Tandems drawn in proportion to the circuits free above the mark

Cause: of many thin groups most random draws are turned back. Harm: where one tandem has by far the largest group, many draw it; the transit mark and its rest bound that.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -321,18 +321,22 @@
 	return c.held(now, f, k) == 0
 }
 
-// drawTandem picks one of the fitting tandems at random.
+// drawTandem picks one of the fitting tandems at random, each with a chance in proportion to the circuits it
+// has free above the mark: a tandem well linked to here is mostly well linked to the destination too, and of
+// many thin groups most draws would be turned back.
 func (c *Controller) drawTandem(now Tenths, k *call, dest int) (int, bool) {
-	pick, seen := 0, 0
+	pick, room := 0, 0
 	for t := range c.far {
 		if !c.tandemFits(now, k, t, dest) {
 			continue
 		}
-		if seen++; c.draw() < 1/float64(seen) {
+		f := &c.far[t]
+		mine := f.free - k.ask.Width - f.reserve() - transitExtra + 1
+		if room += mine; c.draw()*float64(room) < float64(mine) {
 			pick = t
 		}
 	}
-	return pick, seen > 0
+	return pick, room > 0
 }
 
 // worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is
