--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,8 +15,8 @@
 
 const (
 	reserveStart = 2 // circuits kept for the protected bearer types, the paper's best setting
-	reserveOf    = 8 // in that setting they are kept of so many
 	transitExtra = 2 // and so many more must stay free behind a call over a tandem
+	markShare    = 4 // the two together should close one part in so many of a group to transit
 
 	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end
 	reportHalf = Tenths(20000) // half-life of a reported wait, a few report periods
@@ -32,7 +32,7 @@
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
-	backRest = Tenths(30000) // a tandem that turned a call back is not asked again for that destination
+	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
 	newer = 0.7 // what earlier answers still weigh after each later one
 
@@ -284,10 +284,11 @@
 	c.giveUp(now, k, false)
 }
 
-// reserve is what a group keeps for the protected bearer types: the paper's 2 circuits of 8, and of a smaller
-// group the same share, but never under 1.
+// reserve is what a group keeps for the protected bearer types: 2 circuits where the transit mark then closes
+// no more than a quarter of the group, else 1. In a large network most groups are so thin that the mark would
+// close half of them and leave no tandem; it could do harm where the protected type alone fills thin groups.
 func (f *farEnd) reserve() int {
-	return min(reserveStart, max(1, f.size*reserveStart/reserveOf))
+	return min(reserveStart, max(1, f.size/markShare-transitExtra))
 }
 
 // patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were
