Tandems are drawn as often as drawn ones served lately, all from a fifth on

Cause: at full size 7 to 12% of drawn tandems serve their call (60 to 80% of all tries went there to be turned back), each costing work at two processors. Change: the share of drawn tandems that served, fading over 8 s, over a fifth is the chance that one is drawn at all. Also catches: tandems that are cut off or jammed. Harm: right after circuits come back draws are rare for some seconds.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,8 @@
 
 	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
+	drawWorth = 0.2 // share of drawn tandems that must serve their call for each draw to be worth its work
+
 	newer = 0.7 // what earlier answers still weigh after each later one
 
 	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
@@ -74,6 +76,7 @@
 	tries     int
 	far       int // index of the switch of the present try
 	tandem    bool
+	drawn     bool // its tandem was drawn, not remembered
 	noDirect  bool // the direct route could not take it
 	lost      bool // a later try to the same switch was answered first
 	sentAt    Tenths
@@ -134,6 +137,7 @@
 	tightest Tenths            // the least GoS target
 	followIn Tenths
 	cuts     decaying
+	draws    decaying // tandems drawn lately, and how many of them served their call
 	commonAt Tenths
 	commonIs Tenths
 	beatDue  Tenths // when the next beat must come
@@ -272,7 +276,10 @@
 	if !k.late && now < k.gosAt {
 		t, ok := c.tandems[k.ask.Dest]
 		if !ok || !c.tandemFits(now, k, t, dest) {
-			t, ok = c.drawTandem(now, k, dest)
+			if ok = c.draw()*drawWorth < c.served(now); ok {
+				t, ok = c.drawTandem(now, k, dest)
+			}
+			k.drawn = ok
 		}
 		if ok {
 			c.tandems[k.ask.Dest] = t
@@ -340,6 +347,13 @@
 	return pick, room > 0
 }
 
+// served is the share of the tandems drawn lately that served their call, taken as worthwhile before any
+// evidence.
+func (c *Controller) served(now Tenths) float64 {
+	n := c.draws.read(now, offerHalf)
+	return (c.draws.x + drawWorth) / (n + 1)
+}
+
 // worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is
 // let through is the dearest part of the traffic, as large as the processors can still serve in time.
 func (c *Controller) worthTheWork(now Tenths, k *call, dest int) bool {
@@ -554,6 +568,9 @@
 		return
 	}
 	c.answered(now, k)
+	if k.tandem && k.drawn {
+		c.draws.add(now, offerHalf, 1)
+	}
 	c.become(k, standing)
 	c.overtaken(now, k)
 }
@@ -629,6 +646,9 @@
 		if k.tandem {
 			delete(c.tandems, k.ask.Dest)
 			f.backAt[k.ask.Dest] = now
+			if k.drawn {
+				c.draws.add(now, offerHalf, 0)
+			}
 		} else {
 			k.noDirect = true
 		}
