--- a/policy/policy.go
+++ b/policy/policy.go
@@ -676,9 +676,12 @@
 // answered takes the time of a try's answer, unless this controller was held up while it was out.
 func (c *Controller) answered(now Tenths, k *call) {
 	if k.sentAt >= c.stalled {
-		a := &c.far[k.far].answers
+		a, took := &c.far[k.far].answers, float64(now-k.sentAt)
+		if k.tandem {
+			took /= 2
+		}
 		a.lessen(newer)
-		a.add(now, answerHalf, float64(now-k.sentAt))
+		a.add(now, answerHalf, took)
 	}
 }
 
