--- a/policy/policy.go
+++ b/policy/policy.go
@@ -340,6 +340,7 @@
 		}
 		f := &c.far[t]
 		mine := f.free - k.ask.Width - f.reserve() - transitExtra + 1
+		mine *= mine
 		if room += mine; c.draw()*float64(room) < float64(mine) {
 			pick = t
 		}
