Reports of a processor's load hold 6 s

Cause: at full size a pair hears of a far end every few seconds, so a report had faded before the next call. Harm: a far end that recovers is shed some seconds longer unless an answer says so.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	markShare    = 4 // the two together should close one part in so many of a group to transit
 
 	answerHalf = Tenths(15000) // half-life of what answers tell: a few answers of one far end
-	reportHalf = Tenths(20000) // half-life of a reported wait, a few report periods
+	reportHalf = Tenths(60000) // half-life of a reported wait, a few report periods
 	offerHalf  = Tenths(80000) // half-life of traffic counts, longer than any burst between two calls
 	emptyPrior = 0.3           // answers' weight against which fading evidence loses its say
 	spread     = 0.7           // deviations above the mean: the upper quartile of answer times
