Lateness that far ends share stops all at 0.8 of the GoS target, not at 1.4

Symptom: with many processors slow at full size, a third of all tries time out. On a gentle slope the line settles that high. Change: a steeper slope for what far ends share; a single far end keeps the gentle one, since one or two answers swing. Also catches: an own processor taken by other work. Harm: where most far ends are slow and the own exchange is not, calls between healthy ones are shed too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,8 @@
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
+	shedShared = 0.8 // lateness that far ends share stops all here already: many answers tell of it, and do not swing
+
 	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
 	drawWorth = 0.2 // share of drawn tandems that must serve their call for each draw to be worth its work
@@ -382,15 +384,18 @@
 	return c.rank(k) == 0 && len(f.waiting) == 0 && now-f.sentAt > trickleEvery
 }
 
-// held is the share of new set-ups that should not go to a far end now.
+// held is the share of new set-ups that should not go to a far end now. Where most far ends look late, the
+// slope is steeper: a line that all share settles where arrivals equal what is served, and on the gentle slope
+// that is so near the GoS target that most tries through it are lost.
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
 	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
 		scale = min(scale, 2*float64(c.d.Resend))
 	}
-	late := (float64(max(c.expects(now, f), c.common(now)))/scale - shedFrom) / (shedAll - shedFrom)
+	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
+	shared := (float64(c.common(now))/scale - shedFrom) / (shedShared - shedFrom)
 	asked := f.holdBack * fade(now-f.reportedAt, reportHalf)
-	return min(1, max(0, late, asked))
+	return min(1, max(0, late, shared, asked))
 }
 
 // common is what every far end is expected to be, at the least: the median of those heard of lately. Where
