--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	lossy = 0.5 // tries overtaken lately at one switch: from here on messages are taken to get lost
 
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
-	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
+	shedAll  = 1.1 // and this late stops all; a steeper slope swings between jam and idleness
 
 	shedShared = 0.8 // lateness that far ends share stops all here already: many answers tell of it, and do not swing
 
