Cold budget for the sum of all controllers: its floor is shared, it starts at a random part

Seen by reading: each controller might send a cold switch one set-up a second whatever their number, 90 of them 90. Now 6 a second for all together where nothing is known of its traffic, and a budget that starts at a random part of one set-up, so that they neither starve it nor send together. Test: 90 controllers, one fall window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 	followFirst = Tenths(2500) // first wait before the list is asked for anew; it doubles
 
 	coldDepth = 0.5 // share of the fall window whose budget may be spent at once
-	coldFloor = 1.0 // set-ups a second towards a cold switch when nothing is known of its traffic
+	coldFloor = 6.0 // set-ups a second that all controllers may send a cold switch of whose traffic they know nothing
 )
 
 // callState names where a call is in its life; become is the one place that changes it.
@@ -466,7 +466,8 @@
 // of it, or of a warm fellow on average, is this exchange's share of what such a switch can do, with room
 // to spare, since half of a processor's work is its own exchange's calls. The fall multiple times that, at
 // the strength reached so far, is this exchange's share of the budget. Refused set-ups were counted when
-// sent.
+// sent. It starts at a random part of one set-up: controllers that all hear of the start at once would else
+// all wait as long and then send together.
 func (c *Controller) coldRoom(now Tenths, f *farEnd) bool {
 	if !c.cold(now, f) {
 		return true
@@ -478,7 +479,7 @@
 			fellows++
 		}
 	}
-	rate := max(coldFloor, total/float64(max(1, fellows)))
+	rate := max(coldFloor/float64(len(c.far)), total/float64(max(1, fellows)))
 	if a := c.asked[f.number]; a != nil {
 		rate = max(rate, a.rate(now, offerHalf))
 	}
@@ -746,7 +747,7 @@
 	for _, s := range list {
 		f := &c.far[c.index(s.ID)]
 		if s.BootAt != f.bootAt { // another process: what was learned of the old one is void
-			f.answers, f.wait, f.holdBack, f.budget, f.budgetAt = decaying{}, 0, 0, 0, now
+			f.answers, f.wait, f.holdBack, f.budget, f.budgetAt = decaying{}, 0, 0, c.draw(), now
 		}
 		f.number, f.bootAt, f.ready = s.Number, s.BootAt, s.Ready
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -321,6 +321,25 @@
 	}
 }
 
+func TestColdBudgetHoldsForTheSumOfAllControllers(t *testing.T) {
+	sent := 0
+	for seed := range uint64(90) { // each has just started and knows of no traffic
+		r := town(90, 50)
+		r.c.chance = seed*7919 + 1
+		r.list(false, Switch{ID: 101, Number: 1, Ready: true, BootAt: r.now})
+		for id := uint32(0); id < 15; id++ {
+			k := ask(id, 1, 1)
+			k.Redial = true
+			r.offer(k)
+			r.pass(1000)
+		}
+		sent += len(r.sent)
+	}
+	if sent < 4 || sent > 16 {
+		t.Fatalf("90 controllers sent a cold switch %d set-ups in a fall window", sent)
+	}
+}
+
 func TestListIsAskedAnewAfterAFailure(t *testing.T) {
 	d := town(2, 9).d
 	d.ListAsked, d.AskWithin = true, 100000
