--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
 	commonFrom = 3   // far ends heard of, for what they share to mean something
 
-	cutAdds = 0.01 // of the tightest GoS target: the work that each standing call cut lately leaves behind
+	cutAdds = 0.005 // of the tightest GoS target: the work that each standing call cut lately leaves behind
 
 	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
 
