--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,9 +30,9 @@
 	lossy = 0.5 // tries overtaken lately at one switch: from here on messages are taken to get lost
 
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
-	shedAll  = 1.1 // and this late stops all; a steeper slope swings between jam and idleness
+	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
-	shedShared = 0.8 // lateness that far ends share stops all here already: many answers tell of it, and do not swing
+	shedShared = 1.0 // lateness that far ends share stops all here already: many answers tell of it, and do not swing
 
 	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
@@ -43,7 +43,7 @@
 	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
 	commonFrom = 3   // far ends heard of, for what they share to mean something
 
-	cutAdds = 0.005 // of the tightest GoS target: the work that each standing call cut lately leaves behind
+	cutAdds = 0.01 // of the tightest GoS target: the work that each standing call cut lately leaves behind
 
 	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
 
