--- a/policy/policy.go
+++ b/policy/policy.go
@@ -265,7 +265,7 @@
 		spare := c.far[dest].free - k.ask.Width // circuits left on the direct group
 		direct := spare >= c.far[dest].reserve() || spare >= 0 && c.rows[k.ask.Bearer].protected
 		if k.ask.Transit || k.late {
-			direct = spare >= c.far[dest].reserve()+transitExtra
+			direct = c.far[dest].aboveMark(k.ask.Width) >= 0
 		}
 		if direct && c.send(now, k, dest, c.patienceWith(now, k, dest)) {
 			return
@@ -300,6 +300,16 @@
 	return min(reserveStart, max(1, f.size/markShare-transitExtra))
 }
 
+// aboveMark is how many circuits above the transit mark a call over a tandem finds, negative when none. The
+// mark is on the circuits free before the call; where the full reserve is kept, so many must stay free behind
+// a wide call, since a few of them would fill the group for all others. In thin groups that would bar wide calls.
+func (f *farEnd) aboveMark(width int) int {
+	if f.reserve() < reserveStart && f.free >= width {
+		width = 1
+	}
+	return f.free - width - f.reserve() - transitExtra
+}
+
 // patienceWith is the time-out of a try: up to the GoS target, or, over a tandem or where messages were
 // lost lately and answers else come well within that, short enough to leave room for the release time and
 // one more try.
@@ -319,7 +329,7 @@
 	if t == dest || c.serving[f.number] != t || c.cold(now, f) {
 		return false
 	}
-	if f.size <= 0 || f.free-k.ask.Width < f.reserve()+transitExtra {
+	if f.aboveMark(k.ask.Width) < 0 {
 		return false
 	}
 	if pools := c.rows[k.ask.Bearer].pools; c.d.Pools && len(pools) > 0 && !slices.Contains(pools, f.number) {
@@ -341,7 +351,7 @@
 			continue
 		}
 		f := &c.far[t]
-		mine := f.free - k.ask.Width - f.reserve() - transitExtra + 1
+		mine := f.aboveMark(k.ask.Width) + 1
 		mine *= mine
 		if room += mine; c.draw()*float64(room) < float64(mine) {
 			pick = t
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -67,6 +67,16 @@
 		k.Transit = true
 		expect(t, r, r.offer(k), c.want)
 	}
+	for _, c := range []struct {
+		size, free int
+		want       string
+	}{{12, 4, "send 101"}, {12, 3, "block"}, {20, 6, "block"}, {20, 7, "send 101"}} { // wide calls
+		r := town(3, c.size)
+		r.group(101, c.free, c.size)
+		k := ask(1, 1, 1)
+		k.Transit, k.Width = true, 3
+		expect(t, r, r.offer(k), c.want)
+	}
 	r := town(3, 20) // the direct group is full and the other group stands at the mark
 	r.group(101, 0, 20)
 	r.group(102, 4, 20)
