--- a/internal/wire/info.go
+++ b/internal/wire/info.go
@@ -17,7 +17,6 @@
 	Discovery  string
 	FamilyInfo struct {
 		ClassCells   [][]int `json:"class_cells"`
-		ClassWidth   []int   `json:"class_width"`
 		ReleaseGuard float64 `json:"release_guard"`
 		Retransmit   float64
 		SelfNo       *int `json:"self_no"`
@@ -65,10 +64,7 @@
 	}
 	for i, g := range l.Grades {
 		b := policy.Bearer{Revenue: g.Worth, LateShare: g.LateWorth, GoSTarget: span10(g.Aim),
-			Abandon: span10(g.Deadline), Width: 1}
-		if i < len(l.FamilyInfo.ClassWidth) {
-			b.Width = max(1, l.FamilyInfo.ClassWidth[i])
-		}
+			Abandon: span10(g.Deadline)}
 		if i < len(l.FamilyInfo.ClassCells) {
 			b.Pools = l.FamilyInfo.ClassCells[i]
 		}
--- a/policy/exchange.go
+++ b/policy/exchange.go
@@ -65,8 +65,7 @@
 	LateShare float64 // share of the revenue left after the GoS target
 	GoSTarget Tenths
 	Abandon   Tenths // callers keep trying this long
-	Width     int
-	Pools     []int // pools that may serve it, empty when any may
+	Pools     []int  // pools that may serve it, empty when any may
 }
 
 // Deployment is what an operator states about the network when a controller starts.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	shedFrom = 0.2 // of the GoS target: an expected answer this late starts shedding
 	shedAll  = 1.4 // and this late stops all; a steeper slope swings between jam and idleness
 
-	shedShared = 1.0 // lateness that far ends share stops all here already: many answers tell of it, and do not swing
+	shedShared = 1.0 // lateness that far ends share stops all here already: many answers tell of it
 
 	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
@@ -43,18 +43,22 @@
 	heardOf    = 0.2 // weight of answers from which a far end counts as heard of lately
 	commonFrom = 3   // far ends heard of, for what they share to mean something
 
+	manyCuts = 20 // cut within a second or two: a line for staff
+
 	cutAdds = 0.01 // of the tightest GoS target: the work that each standing call cut lately leaves behind
 
 	comeBackLater = 3 // times the expected answer time: the line ahead and the redials that come first
 
 	trickleEvery = Tenths(7000) // a shed far end is asked this often, to learn of its recovery
 
+	noteEvery = Tenths(300000) // the same line for staff at most so often
+
 	beatEvery = Tenths(1000) // short against any GoS target, long against the wire's interval
 
 	followFirst = Tenths(2500) // first wait before the list is asked for anew; it doubles
 
 	coldDepth = 0.5 // share of the fall window whose budget may be spent at once
-	coldFloor = 6.0 // set-ups a second that all controllers may send a cold switch of whose traffic they know nothing
+	coldFloor = 6.0 // set-ups a second from all controllers to a cold switch whose traffic they do not know
 )
 
 // callState names where a call is in its life; become is the one place that changes it.
@@ -145,6 +149,7 @@
 	beatDue  Tenths // when the next beat must come
 	stalled  Tenths // end of the last stall of this controller
 	stallFor Tenths
+	noted    map[string]Tenths // lines for staff: when each was last written
 }
 
 const (
@@ -156,7 +161,7 @@
 func New(d Deployment, out Exchange, now Tenths) *Controller {
 	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
 		serving: map[int]int{}, tandems: map[int]int{}, asked: map[int]*decaying{},
-		calls: map[uint32]*call{}, turned: map[uint64]Tenths{}}
+		calls: map[uint32]*call{}, turned: map[uint64]Tenths{}, noted: map[string]Tenths{}}
 	c.rankBearers()
 	if d.ListAsked {
 		c.out.Follow()
@@ -304,7 +309,7 @@
 
 // aboveMark is how many circuits above the transit mark a call over a tandem finds, negative when none. The
 // mark is on the circuits free before the call; where the full reserve is kept, so many must stay free behind
-// a wide call, since a few of them would fill the group for all others. In thin groups that would bar wide calls.
+// a wide call, since a few of them would fill the group for all others. In thin groups that would bar them.
 func (f *farEnd) aboveMark(width int) int {
 	if f.reserve() < reserveStart && f.free >= width {
 		width = 1
@@ -368,7 +373,11 @@
 // tandem, if any, takes their place. Right after circuits come back draws are rare for some seconds.
 func (c *Controller) served(now Tenths) float64 {
 	n := c.draws.read(now, offerHalf)
-	return (c.draws.x + drawWorth) / (n + 1)
+	share := (c.draws.x + drawWorth) / (n + 1)
+	if share < drawWorth/2 {
+		c.note(now, "drawn tandems are mostly turned back")
+	}
+	return share
 }
 
 // worthTheWork sheds the calls of least revenue first when the processors on the way answer late: what is
@@ -398,8 +407,8 @@
 	return c.rank(k) == 0 && len(f.waiting) == 0 && now-f.sentAt > trickleEvery
 }
 
-// held is the share of new set-ups that should not go to a far end now. Where most far ends look late, the
-// slope is steeper: a line that all share settles where arrivals equal what is served, and on the gentle slope
+// held is the share of new set-ups that should not go to a far end now. Where most far ends look late the
+// slope is steeper: a line that all share settles where arrivals equal what is served, and on the gentle one
 // that is so near the GoS target that most tries through it are lost.
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
@@ -429,7 +438,9 @@
 		}
 		if len(seen) >= commonFrom {
 			slices.Sort(seen)
-			c.commonIs = seen[len(seen)/2]
+			if c.commonIs = seen[len(seen)/2]; c.commonIs > c.tightest/2 {
+				c.note(now, "most far ends answer late")
+			}
 		}
 	}
 	return max(c.commonIs, Tenths(c.cuts.read(now, answerHalf)*cutAdds*float64(c.tightest)))
@@ -578,6 +589,15 @@
 func (c *Controller) notice(now Tenths) {
 	if now > c.beatDue+beatEvery && c.stalled != now {
 		c.stallFor, c.stalled = now-c.beatDue, now
+		c.note(now, "this controller stood still")
+	}
+}
+
+// note writes one of the few lines for staff that docs/oncall.md names, each seldom.
+func (c *Controller) note(now Tenths, line string) {
+	if at, again := c.noted[line]; !again || now > at+noteEvery {
+		c.noted[line] = now
+		c.out.Note(line)
 	}
 }
 
@@ -636,6 +656,9 @@
 	}
 	if k.state == standing && end == Cut {
 		c.cuts.add(now, answerHalf, 1)
+		if c.cuts.n > manyCuts {
+			c.note(now, "many standing calls cut")
+		}
 	}
 	if final || k.state == standing {
 		c.become(k, over)
