--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,8 @@
 
 	shedShared = 1.0 // lateness that far ends share stops all here already: many answers tell of it
 
+	resends = 2.5 // intervals that a set-up may wait: resent after one, and again after three
+
 	backRest = Tenths(120000) // a tandem that turned a call back is not asked again for that destination
 
 	drawWorth = 0.3 // share of the tandems drawn that must serve their call for every draw to be worth its work
@@ -413,7 +415,7 @@
 func (c *Controller) held(now Tenths, f *farEnd, k *call) float64 {
 	scale := float64(c.rows[k.ask.Bearer].gosTarget)
 	if c.d.Resend > 0 { // waiting longer makes repeats, which are work again
-		scale = min(scale, 2*float64(c.d.Resend))
+		scale = min(scale, resends*float64(c.d.Resend))
 	}
 	late := (float64(c.expects(now, f))/scale - shedFrom) / (shedAll - shedFrom)
 	shared := (float64(c.common(now))/scale - shedFrom) / (shedShared - shedFrom)
