--- a/policy/policy.go
+++ b/policy/policy.go
@@ -350,7 +350,7 @@
 	return c.held(now, f, k) == 0
 }
 
-// drawTandem picks one of the fitting tandems at random, each with a chance in proportion to the circuits it
+// drawTandem picks one of the fitting tandems at random, each with a chance by the square of the circuits it
 // has free above the mark: a tandem well linked to here is mostly well linked to the destination too, and of
 // many thin groups most draws would be turned back.
 func (c *Controller) drawTandem(now Tenths, k *call, dest int) (int, bool) {
