Signalling on the wire: ISUP messages and M3UA frames, decoded without I/O

The running controller needs published formats between exchanges. Q.763 messages for set-up, release, blocking and reset, multirate widths, user-to-user information for what deployments need beyond ISUP; RFC 4666 DATA and the link messages over any stream.

--- /dev/null
+++ b/internal/isup/isup.go
@@ -0,0 +1,390 @@
+// Package isup turns messages of the ISDN user part (ITU-T Q.763) into octets and back. It holds no state and does
+// no I/O; what the messages mean to a circuit is Q.764's and stands in internal/circuit. docs/protocol.md lists every
+// octet and every departure.
+package isup
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Type is the message type code (Q.763, table 4).
+type Type uint8
+
+const (
+	IAM Type = 0x01
+	ACM Type = 0x06
+	ANM Type = 0x09
+	REL Type = 0x0c
+	RLC Type = 0x10
+	RSC Type = 0x12
+	BLO Type = 0x13
+	UBL Type = 0x14
+	BLA Type = 0x15
+	UBA Type = 0x16
+	GRS Type = 0x17
+	GRA Type = 0x29
+)
+
+var typeNames = map[Type]string{IAM: "IAM", ACM: "ACM", ANM: "ANM", REL: "REL", RLC: "RLC", RSC: "RSC", BLO: "BLO",
+	UBL: "UBL", BLA: "BLA", UBA: "UBA", GRS: "GRS", GRA: "GRA"}
+
+func (t Type) String() string {
+	if n, ok := typeNames[t]; ok {
+		return n
+	}
+	return fmt.Sprintf("type %02x", uint8(t))
+}
+
+// Cause is a Q.850 cause value.
+type Cause uint8
+
+const (
+	NormalClearing    Cause = 16
+	UserBusy          Cause = 17
+	OutOfOrder        Cause = 27 // destination out of order
+	NormalUnspecified Cause = 31
+	NoCircuit         Cause = 34
+	NetworkOutOfOrder Cause = 38
+	TemporaryFailure  Cause = 41
+	Congestion        Cause = 42 // switching equipment congestion
+	TimerExpiry       Cause = 102
+)
+
+// Location tells who made a cause (Q.850, table 2).
+type Location uint8
+
+const (
+	User         Location = 0
+	LocalNetwork Location = 2
+	Transit      Location = 3
+	Remote       Location = 4
+)
+
+const (
+	// CICMost is the highest circuit identification code (12 bits, Q.763 1.2).
+	CICMost = 1<<12 - 1
+	// PerMultiplex counts the circuits of one 2048 kbit/s system: time slots 1 to 31 of CIC 32*m to 32*m+31.
+	PerMultiplex = 31
+	// DigitsMost is the longest called number taken.
+	DigitsMost = 24
+	// WidthMost is the widest multirate call: 30 x 64 kbit/s.
+	WidthMost = 30
+
+	paramReference = 0x01
+	paramUser      = 0x20
+	paramMap       = 0x25
+	paramHops      = 0x3d
+
+	mapOf2048 = 1
+)
+
+// Reference names a call over the whole network: who took it first, and that exchange's number for it.
+type Reference struct {
+	Point    uint16 // point code of the exchange where the call began
+	Identity uint32 // 24 bits
+}
+
+// Message is one ISUP message. What its type does not carry is zero.
+type Message struct {
+	CIC      uint16
+	Type     Type
+	Digits   string    // called party number (IAM)
+	Width    int       // N of N x 64 kbit/s (IAM)
+	Slots    uint32    // bit t-1 set: time slot t of the multiplex is part of a multirate call (IAM)
+	Hops     uint8     // exchanges that the call may still cross (IAM)
+	Ref      Reference // IAM
+	Cause    Cause     // REL
+	Location Location  // REL
+	Range    uint8     // circuits after CIC that a group message is about (GRS, GRA)
+	Says     Says      // user-to-user information: what deployments need and ISUP has no field for
+}
+
+// ErrMessage is wrapped by every error about a malformed message.
+var ErrMessage = errors.New("malformed ISUP message")
+
+func bad(format string, args ...any) error {
+	return fmt.Errorf("%w: "+format, append([]any{ErrMessage}, args...)...)
+}
+
+// requirement is the transmission medium requirement for N x 64 kbit/s (Q.763, 3.54).
+func requirement(n int) (byte, bool) {
+	switch {
+	case n == 1:
+		return 0, true
+	case n == 2:
+		return 7, true
+	case n == 6:
+		return 8, true
+	case n == 24:
+		return 9, true
+	case n == 30:
+		return 10, true
+	case n >= 3 && n <= 29:
+		return byte(n + 13), true
+	}
+	return 0, false
+}
+
+func widthOf(requirement byte) (int, bool) {
+	switch r := int(requirement); {
+	case r == 0 || r == 2 || r == 3:
+		return 1, true
+	case r == 7:
+		return 2, true
+	case r == 8:
+		return 6, true
+	case r == 9:
+		return 24, true
+	case r == 10:
+		return 30, true
+	case r >= 16 && r <= 42 && r != 19 && r != 37:
+		return r - 13, true
+	}
+	return 0, false
+}
+
+// Append adds the octets of m to buf.
+func Append(buf []byte, m Message) ([]byte, error) {
+	at := len(buf)
+	if m.CIC > CICMost {
+		return buf, bad("circuit %d, %d at most", m.CIC, CICMost)
+	}
+	buf = binary.LittleEndian.AppendUint16(buf, m.CIC)
+	buf = append(buf, byte(m.Type))
+	switch m.Type {
+	case IAM:
+		medium, ok := requirement(m.Width)
+		if !ok {
+			return buf[:at], bad("width %d", m.Width)
+		}
+		if len(m.Digits) == 0 || len(m.Digits) > DigitsMost {
+			return buf[:at], bad("called number of %d digits, 1 to %d", len(m.Digits), DigitsMost)
+		}
+		// nature of connection; forward call indicators: ISUP all the way; ordinary subscriber; medium; pointers
+		buf = append(buf, 0, 0x60, 0x01, 10, medium, 2, 0)
+		pointer := len(buf) - 1
+		size := 2 + (len(m.Digits)+1)/2
+		odd := byte(0)
+		if len(m.Digits)%2 == 1 {
+			odd = 0x80
+		}
+		buf = append(buf, byte(size), odd|3, 0x10) // national number, E.164 plan
+		for i := 0; i < len(m.Digits); i += 2 {
+			pair, ok := digit(m.Digits[i])
+			if ok && i+1 < len(m.Digits) {
+				var high byte
+				high, ok = digit(m.Digits[i+1])
+				pair |= high << 4
+			}
+			if !ok {
+				return buf[:at], bad("called number %q", m.Digits)
+			}
+			buf = append(buf, pair)
+		}
+		buf[pointer] = byte(len(buf) - pointer)
+		if m.Ref != (Reference{}) {
+			buf = append(buf, paramReference, 5, byte(m.Ref.Identity>>16), byte(m.Ref.Identity>>8), byte(m.Ref.Identity),
+				byte(m.Ref.Point), byte(m.Ref.Point>>8))
+		}
+		if m.Slots != 0 {
+			buf = append(buf, paramMap, 5, mapOf2048)
+			buf = binary.LittleEndian.AppendUint32(buf, m.Slots)
+		}
+		if m.Hops != 0 {
+			buf = append(buf, paramHops, 1, m.Hops&31)
+		}
+		buf = m.Says.appendTo(buf)
+		buf = append(buf, 0)
+	case ACM:
+		buf = optional(append(buf, 0x16, 0x14, 0), m)
+	case ANM, RLC:
+		buf = optional(append(buf, 0), m)
+	case REL:
+		buf = append(buf, 2, 0, 2, 0x80|byte(m.Location), 0x80|byte(m.Cause))
+		pointer := len(buf) - 4
+		if m.Says.any() {
+			buf[pointer] = 4
+			buf = append(m.Says.appendTo(buf), 0)
+		}
+	case GRS:
+		buf = append(buf, 1, 1, m.Range)
+	case GRA:
+		status := int(m.Range)/8 + 1
+		buf = append(buf, 1, byte(1+status), m.Range)
+		buf = append(buf, make([]byte, status)...)
+	case RSC, BLO, UBL, BLA, UBA:
+	default:
+		return buf[:at], bad("%v cannot be sent", m.Type)
+	}
+	return buf, nil
+}
+
+// optional ends a message whose last octet is the pointer to its optional part.
+func optional(buf []byte, m Message) []byte {
+	if !m.Says.any() {
+		return buf
+	}
+	buf[len(buf)-1] = 1
+	return append(m.Says.appendTo(buf), 0)
+}
+
+func digit(c byte) (byte, bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		return c - '0', true
+	case c == 'B': // code 11
+		return 11, true
+	case c == 'C': // code 12
+		return 12, true
+	}
+	return 0, false
+}
+
+// Decode reads one message. What it does not know among the optional parameters is passed over.
+func Decode(b []byte) (Message, error) {
+	if len(b) < 3 {
+		return Message{}, bad("%d octets", len(b))
+	}
+	m := Message{CIC: binary.LittleEndian.Uint16(b), Type: Type(b[2])}
+	if m.CIC > CICMost {
+		return m, bad("circuit code %04x", m.CIC)
+	}
+	b = b[3:]
+	switch m.Type {
+	case IAM:
+		if len(b) < 7 {
+			return m, bad("IAM of %d octets after the type", len(b))
+		}
+		var ok bool
+		if m.Width, ok = widthOf(b[4]); !ok {
+			return m, bad("transmission medium requirement %d", b[4])
+		}
+		number, err := variable(b, 5, "called party number")
+		if err != nil {
+			return m, err
+		}
+		if m.Digits, err = digits(number); err != nil {
+			return m, err
+		}
+		return m, m.options(b, 6)
+	case ACM:
+		if len(b) < 3 {
+			return m, bad("ACM of %d octets after the type", len(b))
+		}
+		return m, m.options(b, 2)
+	case ANM, RLC:
+		if len(b) < 1 {
+			return m, bad("%v without its pointer", m.Type)
+		}
+		return m, m.options(b, 0)
+	case REL:
+		cause, err := variable(b, 0, "cause indicators")
+		if err != nil {
+			return m, err
+		}
+		if len(cause) < 2 || cause[0]&0x80 == 0 {
+			return m, bad("cause indicators % x", cause)
+		}
+		m.Location, m.Cause = Location(cause[0]&15), Cause(cause[1]&0x7f)
+		if len(b) < 2 {
+			return m, bad("REL without its second pointer")
+		}
+		return m, m.options(b, 1)
+	case GRS, GRA:
+		status, err := variable(b, 0, "range and status")
+		if err != nil {
+			return m, err
+		}
+		if len(status) == 0 || status[0] == 0 || status[0] >= 32 {
+			return m, bad("range % x", status)
+		}
+		m.Range = status[0]
+		if m.Type == GRA && len(status) != 2+int(m.Range)/8 {
+			return m, bad("GRA of range %d with %d octets of status", m.Range, len(status)-1)
+		}
+		return m, nil
+	case RSC, BLO, UBL, BLA, UBA:
+		return m, nil
+	}
+	return m, bad("%v is not known", m.Type)
+}
+
+// variable is the mandatory variable parameter whose pointer stands at b[at].
+func variable(b []byte, at int, what string) ([]byte, error) {
+	if at >= len(b) {
+		return nil, bad("no pointer to the %s", what)
+	}
+	start := at + int(b[at])
+	if b[at] == 0 || start >= len(b) || start+1+int(b[start]) > len(b) {
+		return nil, bad("the %s reaches past the end", what)
+	}
+	return b[start+1 : start+1+int(b[start])], nil
+}
+
+func digits(b []byte) (string, error) {
+	if len(b) < 3 || len(b) > 2+(DigitsMost+1)/2 {
+		return "", bad("called party number of %d octets", len(b))
+	}
+	out := make([]byte, 0, DigitsMost)
+	for i, pair := range b[2:] {
+		out = append(out, pair&15)
+		if i < len(b)-3 || b[0]&0x80 == 0 {
+			out = append(out, pair>>4)
+		}
+	}
+	for i, d := range out {
+		switch {
+		case d < 10:
+			out[i] = '0' + d
+		case d == 11 || d == 12:
+			out[i] = 'B' + d - 11
+		default:
+			return "", bad("address signal %d", d)
+		}
+	}
+	return string(out), nil
+}
+
+// options reads the optional part, whose pointer stands at b[at].
+func (m *Message) options(b []byte, at int) error {
+	if b[at] == 0 {
+		return nil
+	}
+	for i := at + int(b[at]); ; {
+		if i >= len(b) {
+			return bad("the optional part has no end")
+		}
+		if b[i] == 0 {
+			return nil
+		}
+		if i+2 > len(b) || i+2+int(b[i+1]) > len(b) {
+			return bad("optional parameter %02x reaches past the end", b[i])
+		}
+		name, value := b[i], b[i+2:i+2+int(b[i+1])]
+		i += 2 + len(value)
+		switch name {
+		case paramReference:
+			if len(value) != 5 {
+				return bad("call reference of %d octets", len(value))
+			}
+			m.Ref.Identity = uint32(value[0])<<16 | uint32(value[1])<<8 | uint32(value[2])
+			m.Ref.Point = binary.LittleEndian.Uint16(value[3:])
+		case paramMap:
+			if len(value) != 5 || value[0]&0x3f != mapOf2048 {
+				return bad("circuit assignment map % x", value)
+			}
+			m.Slots = binary.LittleEndian.Uint32(value[1:]) & (1<<PerMultiplex - 1)
+		case paramHops:
+			if len(value) != 1 {
+				return bad("hop counter of %d octets", len(value))
+			}
+			m.Hops = value[0] & 31
+		case paramUser:
+			if err := m.Says.read(value); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/isup/isup_test.go
@@ -0,0 +1,139 @@
+package isup
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func anyMessage(t *rapid.T) Message {
+	types := []Type{IAM, ACM, ANM, REL, RLC, RSC, BLO, UBL, BLA, UBA, GRS, GRA}
+	m := Message{CIC: rapid.Uint16Max(CICMost).Draw(t, "cic"), Type: rapid.SampledFrom(types).Draw(t, "type")}
+	switch m.Type {
+	case IAM:
+		m.Digits = rapid.StringMatching(`[0-9BC]{1,24}`).Draw(t, "digits")
+		m.Width = rapid.IntRange(1, WidthMost).Draw(t, "width")
+		m.Slots = rapid.Uint32Max(1<<PerMultiplex-1).Draw(t, "slots")
+		m.Hops = rapid.Uint8Max(31).Draw(t, "hops")
+		m.Ref = Reference{rapid.Uint16().Draw(t, "point"), rapid.Uint32Max(1<<24-1).Draw(t, "identity")}
+	case REL:
+		m.Cause, m.Location = Cause(rapid.Uint8Max(127).Draw(t, "cause")), Location(rapid.Uint8Max(15).Draw(t, "location"))
+	case GRS, GRA:
+		m.Range = rapid.Uint8Range(1, 31).Draw(t, "range")
+	}
+	if m.Type == IAM || m.Type == ACM || m.Type == ANM || m.Type == REL || m.Type == RLC {
+		s := &m.Says
+		s.Has = Part(rapid.Uint8Max(15).Draw(t, "has"))
+		if s.Has&PartLeft != 0 {
+			s.Left, s.Stamp = rapid.Uint32().Draw(t, "left"), rapid.Uint32().Draw(t, "stamp")
+		}
+		if s.Has&PartLoad != 0 {
+			s.Wait, s.HoldBack = rapid.Uint32().Draw(t, "wait"), rapid.Uint16().Draw(t, "hold back")
+		}
+		if s.Has&PartComeBack != 0 {
+			s.ComeBack = rapid.Uint32().Draw(t, "come back")
+		}
+		if s.Has&PartCall != 0 {
+			s.Bearer, s.Marks = rapid.Uint8().Draw(t, "bearer"), rapid.Uint8().Draw(t, "marks")
+		}
+	}
+	return m
+}
+
+func TestMessagesReadBackAsWrittenAndCutOnesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := anyMessage(t)
+		b, err := Append(nil, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(b)
+		if err != nil || got != m {
+			t.Fatalf("read back %+v, %v; wrote %+v", got, err, m)
+		}
+		for n := range b {
+			if short, err := Decode(b[:n]); err == nil && short == m {
+				t.Fatalf("%v cut to %d of %d octets reads as the whole", m.Type, n, len(b))
+			}
+		}
+	})
+}
+
+// The octets of an IAM and a REL as the tables of Q.763 lay them out.
+func TestOctets(t *testing.T) {
+	for _, c := range []struct {
+		m    Message
+		want string
+	}{
+		{Message{CIC: 0x123, Type: IAM, Digits: "12345", Width: 3},
+			"\x23\x01\x01\x00\x60\x01\x0a\x10\x02\x07\x05\x83\x10\x21\x43\x05\x00"},
+		{Message{CIC: 5, Type: REL, Cause: NoCircuit, Location: Transit}, "\x05\x00\x0c\x02\x00\x02\x83\xa2"},
+		{Message{CIC: 5, Type: RLC}, "\x05\x00\x10\x00"},
+		{Message{CIC: 33, Type: GRS, Range: 30}, "\x21\x00\x17\x01\x01\x1e"},
+	} {
+		b, err := Append(nil, c.m)
+		if err != nil || string(b) != c.want {
+			t.Errorf("%v: % x, %v; want % x", c.m.Type, b, err, c.want)
+		}
+	}
+}
+
+func TestImpossibleMessagesAreNotSent(t *testing.T) {
+	for _, m := range []Message{{CIC: 4096, Type: RSC}, {Type: IAM, Digits: "1", Width: 31}, {Type: IAM, Width: 1},
+		{Type: IAM, Digits: "1x", Width: 1}, {Type: 0x7f}} {
+		if b, err := Append([]byte("kept"), m); !errors.Is(err, ErrMessage) || string(b) != "kept" {
+			t.Errorf("%+v: %q, %v", m, b, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{{CIC: 1, Type: IAM, Digits: "0031234", Width: 3, Slots: 7, Hops: 3, Ref: Reference{2, 77},
+		Says: Says{Has: PartLeft | PartCall, Left: 30000}}, {CIC: 9, Type: REL, Cause: Congestion, Says: Says{Has: PartLoad}},
+		{CIC: 9, Type: GRA, Range: 9}, {Type: ACM}, {Type: ANM}} {
+		b, _ := Append(nil, m)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			if !errors.Is(err, ErrMessage) {
+				t.Fatalf("error of another kind: %v", err)
+			}
+			return
+		}
+		again, err := Append(nil, m)
+		if err != nil {
+			t.Fatalf("%+v was read but cannot be written: %v", m, err)
+		}
+		if back, err := Decode(again); err != nil || back != m {
+			t.Fatalf("%+v reads back as %+v, %v", m, back, err)
+		}
+	})
+}
+
+func BenchmarkDecode(b *testing.B) {
+	m := Message{CIC: 1, Type: IAM, Digits: "0031234", Width: 1, Hops: 3, Ref: Reference{2, 77},
+		Says: Says{Has: PartLeft | PartCall, Left: 30000}}
+	buf, _ := Append(nil, m)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Decode(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	m := Message{CIC: 1, Type: IAM, Digits: "0031234", Width: 1, Hops: 3, Ref: Reference{2, 77},
+		Says: Says{Has: PartLeft | PartCall, Left: 30000}}
+	var buf []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		var err error
+		if buf, err = Append(buf[:0], m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/m3ua/m3ua_test.go
@@ -0,0 +1,70 @@
+package m3ua
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+)
+
+var samples = []Frame{
+	{Kind: Data, From: 3, To: 7, SLS: 9, User: []byte{5, 0, 0x10, 0}},
+	{Kind: Up, ASP: 3}, {Kind: UpAck, ASP: 7, Info: "boot=12"}, {Kind: Beat, User: []byte{1, 2, 3, 4}},
+	{Kind: BeatAck, User: []byte{1}}, {Kind: Down},
+}
+
+func TestFramesReadBackAsWritten(t *testing.T) {
+	var stream []byte
+	for _, f := range samples {
+		var err error
+		if stream, err = Append(stream, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, scratch := io.Reader(bytes.NewReader(stream)), []byte(nil)
+	for _, want := range samples {
+		var got Frame
+		var err error
+		if got, scratch, err = Read(r, scratch); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, %v; want %+v", got, err, want)
+		}
+	}
+	if _, _, err := Read(r, scratch); !errors.Is(err, io.EOF) {
+		t.Fatalf("at the end: %v", err)
+	}
+	for n := range stream { // a stream that breaks off anywhere ends with an error, never a frame too many
+		r, whole := bytes.NewReader(stream[:n]), 0
+		for {
+			if _, _, err := Read(r, nil); err != nil {
+				break
+			}
+			whole++
+		}
+		if whole >= len(samples) {
+			t.Fatalf("%d frames from %d of %d octets", whole, n, len(stream))
+		}
+	}
+}
+
+func TestLengthIsRefusedBeforeMemoryIsGiven(t *testing.T) {
+	for _, head := range [][]byte{{1, 0, 1, 1, 0xff, 0xff, 0xff, 0xfc}, {1, 0, 1, 1, 0, 0, 0, 4}, {1, 0, 1, 1, 0, 0, 0, 13},
+		{2, 0, 1, 1, 0, 0, 0, 8}} {
+		if _, _, err := Read(bytes.NewReader(head), nil); !errors.Is(err, ErrFrame) {
+			t.Errorf("% x: %v", head, err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	for _, s := range samples {
+		b, _ := Append(nil, s)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, _, err := Read(bytes.NewReader(b), nil)
+		if err == nil && got.Kind == Data && len(got.User) > FrameMost {
+			t.Fatalf("%d octets of user data", len(got.User))
+		}
+	})
+}
