--- /dev/null
+++ b/internal/circuit/circuit_test.go
@@ -0,0 +1,241 @@
+package circuit
+
+import (
+	"slices"
+	"testing"
+
+	"indigodrift/internal/isup"
+	"indigodrift/policy"
+
+	"pgregory.net/rapid"
+)
+
+// end is one exchange of a pair on paper: a group and the calls it knows.
+type end struct {
+	g     *Group
+	out   map[uint32]Bundle // calls of ours
+	in    map[uint32]Bundle // calls of theirs, by their number
+	lost  int               // yielded
+	sends []isup.Message    // on the way to the other end; the call's number rides in Ref
+}
+
+func newEnd(own, peer uint16, size int) *end {
+	return &end{g: New(own, peer, size), out: map[uint32]Bundle{}, in: map[uint32]Bundle{}}
+}
+
+func (e *end) send(t isup.Type, call uint32, b Bundle, width int) {
+	e.sends = append(e.sends, isup.Message{Type: t, CIC: b.CIC, Slots: b.Slots, Width: width,
+		Ref: isup.Reference{Identity: call}})
+}
+
+func (e *end) take(now policy.Tenths, m isup.Message) {
+	switch m.Type {
+	case isup.IAM:
+		b := Bundle{m.CIC, m.Slots}
+		v, yielded := e.g.Arrived(now, m.Ref.Identity, b, m.Width)
+		for _, id := range yielded {
+			delete(e.out, id)
+			e.lost++
+		}
+		if v == Taken {
+			e.in[m.Ref.Identity] = b
+			e.send(isup.ANM, m.Ref.Identity, b, 0)
+		}
+	case isup.ANM:
+		e.g.Answered(now, m.CIC)
+	case isup.REL:
+		if s, call, _ := e.g.State(m.CIC); s == Outgoing || s == Seized || s == Incoming {
+			delete(e.in, call)
+			delete(e.out, call)
+			e.g.Cleared(now, m.CIC, true)
+		}
+		e.send(isup.RLC, 0, Bundle{CIC: m.CIC}, 0)
+	case isup.RLC:
+		if s, _, _ := e.g.State(m.CIC); s == Releasing || s == Resetting {
+			e.g.Cleared(now, m.CIC, false)
+		}
+	}
+}
+
+// Two ends seize, answer and release at random while each one's messages reach the other later and in order. After all
+// has arrived both must agree on every circuit: one call at most on each, known at both ends, and none held for nothing.
+func TestTwoEndsAgreeOnEveryCircuit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 8, 40}).Draw(t, "size")
+		ends := [2]*end{newEnd(2, 9, size), newEnd(9, 2, size)}
+		now, next := policy.Tenths(100000), uint32(1)
+		deliver := func(from int) {
+			m := ends[from].sends[0]
+			ends[from].sends = ends[from].sends[1:]
+			ends[1-from].take(now, m)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += policy.Tenths(rapid.IntRange(0, 4000).Draw(t, "later"))
+			who := rapid.IntRange(0, 1).Draw(t, "who")
+			e := ends[who]
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				width := rapid.SampledFrom([]int{1, 1, 1, 3}).Draw(t, "width")
+				free := e.g.Free()
+				if b, ok := e.g.Seize(now, next, width); ok {
+					if e.g.Free() != free-width {
+						t.Fatalf("seizing %d left %d of %d free", width, e.g.Free(), free)
+					}
+					e.out[next] = b
+					e.send(isup.IAM, next, b, width)
+				}
+				next++
+			case 2:
+				ids := make([]uint32, 0)
+				for id, b := range e.out {
+					if s, _, _ := e.g.State(b.CIC); s == Outgoing || s == Seized {
+						ids = append(ids, id)
+					}
+				}
+				if len(ids) > 0 {
+					slices.Sort(ids)
+					b := e.out[ids[0]]
+					delete(e.out, ids[0])
+					e.g.Release(now, b.CIC)
+					e.send(isup.REL, ids[0], b, 0)
+				}
+			default:
+				if len(e.sends) > 0 {
+					deliver(who)
+				}
+			}
+			for _, e := range ends {
+				if err := e.g.check(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for range 2 { // all arrives; then set-ups that two crossing seizures left without an answer time out
+			for len(ends[0].sends)+len(ends[1].sends) > 0 {
+				for who := range ends {
+					if len(ends[who].sends) > 0 {
+						deliver(who)
+					}
+				}
+			}
+			for _, e := range ends {
+				for i := range size {
+					if s, call, _ := e.g.State(code(i)); s == Seized {
+						delete(e.out, call)
+						e.g.Release(now, code(i))
+						e.send(isup.REL, call, Bundle{CIC: code(i)}, 0)
+					}
+				}
+			}
+		}
+		for who := range ends {
+			for len(ends[who].sends) > 0 {
+				deliver(who)
+			}
+		}
+		for who := range ends {
+			for len(ends[who].sends) > 0 {
+				deliver(who)
+			}
+		}
+		for i := range size {
+			a, callA, _ := ends[0].g.State(code(i))
+			b, callB, _ := ends[1].g.State(code(i))
+			fits := a == Idle && b == Idle || a == Outgoing && b == Incoming && callA == callB ||
+				a == Incoming && b == Outgoing && callA == callB
+			if !fits {
+				t.Fatalf("circuit %d: %d for call %d at one end, %d for call %d at the other", code(i), a, callA, b, callB)
+			}
+		}
+		if ends[0].g.Free() != ends[1].g.Free() {
+			t.Fatalf("%d and %d free", ends[0].g.Free(), ends[1].g.Free())
+		}
+	})
+}
+
+func TestOwnHalfFirst(t *testing.T) {
+	for _, c := range []struct {
+		own, peer uint16
+		want      uint16
+	}{{9, 2, 0}, {2, 9, 1}} {
+		g := New(c.own, c.peer, 10)
+		for n := range 10 {
+			b, ok := g.Seize(policy.Tenths(n), uint32(n+1), 1)
+			if !ok || (b.CIC%2 == c.want) != (n < 5) {
+				t.Errorf("exchange %d takes circuit %d as number %d", c.own, b.CIC, n)
+			}
+		}
+	}
+}
+
+func TestDualSeizureExactlyOneKeepsTheCircuit(t *testing.T) {
+	for _, width := range [][2]int{{1, 1}, {3, 3}, {1, 3}, {3, 1}} {
+		a, b := New(2, 9, 3), New(9, 2, 3)
+		x, _ := a.Seize(0, 1, width[0])
+		y, _ := b.Seize(0, 2, width[1])
+		if width[0] == 1 && width[1] == 1 { // each would take its own half: force one circuit
+			a, b = New(2, 9, 1), New(9, 2, 1)
+			x, _ = a.Seize(0, 1, 1)
+			y, _ = b.Seize(0, 2, 1)
+		}
+		atA, _ := a.Arrived(1, 2, y, width[1])
+		atB, _ := b.Arrived(1, 1, x, width[0])
+		if (atA == Taken) == (atB == Taken) {
+			t.Errorf("widths %v: verdicts %d and %d", width, atA, atB)
+		}
+	}
+}
+
+func TestUnansweredReleaseIsRepeatedThenReset(t *testing.T) {
+	g := New(1, 2, 4)
+	b, _ := g.Seize(0, 7, 1)
+	g.Release(0, b.CIC)
+	var got []isup.Type
+	for now := policy.Tenths(0); now < 1500000; now += 1000 {
+		for _, r := range g.Due(now) {
+			got = append(got, r.Type)
+		}
+	}
+	want := []isup.Type{isup.REL, isup.REL, isup.REL, isup.REL, isup.RSC}
+	if len(got) < 6 || !slices.Equal(got[:5], want) || g.Free() != 3 {
+		t.Fatalf("sent %v, %d free", got, g.Free())
+	}
+	g.Cleared(1500000, b.CIC, false)
+	if g.Free() != 4 {
+		t.Fatalf("%d free after the answer", g.Free())
+	}
+}
+
+func TestGroupResetClearsBothWays(t *testing.T) {
+	g := New(1, 2, 40)
+	b, _ := g.Seize(0, 7, 3)
+	g.Arrived(0, 8, Bundle{CIC: 35}, 1)
+	if lost := g.Reset(1); !slices.Equal(lost, []uint32{7, 8}) || g.Free() != 0 {
+		t.Fatalf("lost %v, %d free (bundle %v)", lost, g.Free(), b)
+	}
+	due := g.Due(1)
+	if want := []Repeat{{isup.GRS, 1, 30}, {isup.GRS, 33, 8}}; !slices.Equal(due, want) {
+		t.Fatalf("sent %v", due)
+	}
+	g.ResetDone(2, 1, 31)
+	g.ResetDone(2, 33, 9)
+	if g.Free() != 40 {
+		t.Fatalf("%d free", g.Free())
+	}
+	g.Seize(3, 9, 1)
+	if lost, ok := g.WasReset(4, 1, 31); !ok || !slices.Equal(lost, []uint32{9}) {
+		t.Fatalf("a reset by the far end: lost %v", lost)
+	}
+	if _, ok := g.WasReset(4, 33, 31); ok {
+		t.Fatal("a reset of circuits that the group does not have was taken")
+	}
+}
+
+func TestBlockedCircuitsAreNotSeized(t *testing.T) {
+	g := New(1, 2, 2)
+	g.Block(1, true)
+	b, ok := g.Seize(0, 1, 1)
+	if _, again := g.Seize(0, 2, 1); !ok || b.CIC != 2 || again || g.Size() != 1 {
+		t.Fatalf("bundle %v, second seizure %v, size %d", b, again, g.Size())
+	}
+}
--- a/internal/m3ua/m3ua.go
+++ b/internal/m3ua/m3ua.go
@@ -34,18 +34,18 @@
 
 	serviceISUP     = 5
 	networkNational = 2
-	labelSize   = 12
+	labelSize       = 12
 )
 
 // Frame is one message of a link. What a kind does not carry is zero.
 type Frame struct {
-	Kind   Kind
-	ASP    uint32 // who speaks: the point code of the exchange (Up, UpAck)
-	Info   string // on UpAck: which life of the switch this is
-	From   uint32 // originating point code (Data)
-	To     uint32 // destination point code (Data)
-	SLS    uint8
-	User   []byte // the ISUP message (Data), the heartbeat's data (Beat, BeatAck)
+	Kind Kind
+	ASP  uint32 // who speaks: the point code of the exchange (Up, UpAck)
+	Info string // on UpAck: which life of the switch this is
+	From uint32 // originating point code (Data)
+	To   uint32 // destination point code (Data)
+	SLS  uint8
+	User []byte // the ISUP message (Data), the heartbeat's data (Beat, BeatAck)
 }
 
 // ErrFrame is wrapped by every error about a malformed frame.
--- /dev/null
+++ b/internal/reconnect/reconnect_test.go
@@ -0,0 +1,78 @@
+package reconnect
+
+import (
+	"testing"
+
+	"indigodrift/policy"
+)
+
+// A thousand exchanges lose one switch at the same instant, and it stays away for a minute. However unlucky the seed, no
+// tenth of a second sees more than a small part of them dial.
+func TestManyExchangesDoNotHammerOneSwitch(t *testing.T) {
+	const exchanges, tenth, length = 1000, 1000, 600000
+	for _, starting := range []bool{true, false} {
+		dials := make([]int, length/tenth+1)
+		total := 0
+		for e := range uint64(exchanges) {
+			p := NewPace(e, exchanges)
+			if !starting { // they were up for long
+				p.Wait()
+				p.Up(1)
+				p.Down(1 + steady)
+			}
+			for now := p.Wait(); now < length; now += p.Wait() {
+				p.Down(now)
+				dials[now/tenth]++
+				total++
+			}
+		}
+		for i, n := range dials {
+			if n > exchanges/10 {
+				t.Errorf("starting %v: %d dials in the tenth of a second at %d", starting, n, i)
+			}
+		}
+		if total < exchanges*5 {
+			t.Errorf("starting %v: %d dials in a minute: too shy to find the switch again", starting, total)
+		}
+	}
+}
+
+func TestLinkThatDropsAtOnceIsNotDialledAtFullSpeed(t *testing.T) {
+	p, now := NewPace(3, 1), policy.Tenths(1)
+	dials := 0
+	for ; now < 600000; dials++ {
+		now += p.Wait()
+		p.Up(now)
+		now += 100
+		p.Down(now)
+	}
+	if dials > 40 {
+		t.Fatalf("%d dials in a minute to a switch that accepts and drops", dials)
+	}
+	p.Up(now)
+	p.Down(now + steady)
+	p.failed = 0
+	if w := p.Wait(); w > 2*first {
+		t.Fatalf("a link that held for long waits %d", w)
+	}
+}
+
+func TestSilentLinkIsDeadButNotAfterAStallOfOurOwn(t *testing.T) {
+	var l Life
+	l.Heard(100)
+	dead, diedAt := false, policy.Tenths(0)
+	beats := 0
+	for now := policy.Tenths(100); !dead; now += 500 {
+		var beat bool
+		if beat, dead, _ = l.Check(now, 0); beat {
+			beats++
+		}
+		diedAt = now
+	}
+	if beats < 3 || diedAt < silentMost || diedAt > silentMost+1000 {
+		t.Fatalf("dead at %d after %d beats", diedAt, beats)
+	}
+	if _, dead, _ := l.Check(diedAt, diedAt-10); dead {
+		t.Fatal("dead though this process itself stood still until now")
+	}
+}
