Exchange core: joins lines, circuits and the deciding module, without a socket

The call's state machine, the circuit groups and policy.Controller meet in internal/exchange, a pure package: messages and the time in, messages out.

--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -48,6 +48,7 @@
 	state   State
 	blocked bool // by the far end: no new call
 	heard   bool // the far end knew of the call that is being released
+	theirs  bool // the call that is being released was the far end's
 	call    uint32
 	lead    int // index of the circuit whose code the call's set-up named
 	idleAt  policy.Tenths
@@ -113,6 +114,7 @@
 		call, c.idleAt = None, now
 	}
 	c.heard = s == Releasing && (c.state == Outgoing || c.state == Incoming)
+	c.theirs = s == Releasing && c.state == Incoming
 	c.state, c.call, c.lead = s, call, lead
 	c.repeats, c.dueAt = 0, now+repeatFirst
 	if c.state == Idle && !c.blocked {
@@ -338,8 +340,10 @@
 		if c := &g.circuits[j]; c.state == Seized || c.state == Outgoing || c.state == Incoming {
 			lost = append(lost, c.call)
 			g.held(now, code(j), Idle, c.state)
-		} else if c.state != Resetting { // a reset of ours is still to be answered
+		} else if c.state != Resetting {
 			g.set(now, j, Idle, None, j)
+		} else { // a reset of ours is still to be answered; the far end is alive, so it is sent again at once
+			c.dueAt = now
 		}
 		g.Block(code(j), false)
 	}
@@ -380,6 +384,8 @@
 	Type  isup.Type // REL, RSC or GRS
 	CIC   uint16
 	Range uint8 // GRS
+	// Theirs tells that the call released was the far end's: its release goes back the way its set-up came.
+	Theirs bool
 }
 
 // Due lists what must be sent (again) now. Circuits of one multiplex that are all to be reset share a GRS; a release
@@ -399,7 +405,7 @@
 		}
 		g.again(now, i)
 		if c.state == Releasing {
-			due = append(due, Repeat{Type: isup.REL, CIC: code(i)})
+			due = append(due, Repeat{Type: isup.REL, CIC: code(i), Theirs: c.theirs})
 			continue
 		}
 		last := i
--- a/internal/circuit/circuit_test.go
+++ b/internal/circuit/circuit_test.go
@@ -214,7 +214,7 @@
 		t.Fatalf("lost %v, %d free (bundle %v)", lost, g.Free(), b)
 	}
 	due := g.Due(1)
-	if want := []Repeat{{isup.GRS, 1, 30}, {isup.GRS, 33, 8}}; !slices.Equal(due, want) {
+	if want := []Repeat{{Type: isup.GRS, CIC: 1, Range: 30}, {Type: isup.GRS, CIC: 33, Range: 8}}; !slices.Equal(due, want) {
 		t.Fatalf("sent %v", due)
 	}
 	g.ResetDone(2, 1, 31)
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,419 @@
+package exchange
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"indigodrift/internal/circuit"
+	"indigodrift/internal/isup"
+	"indigodrift/policy"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, v := range map[string]string{"rapid.seed": "1971", "rapid.checks": "400", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, v); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// paper is a network on paper: exchanges, the messages between them, and subscribers who keep watch over the rules.
+type paper struct {
+	now      policy.Tenths
+	sites    []*site
+	on       []flight
+	callers  map[isup.Reference]*caller
+	broken   []string
+	nextCall uint32
+	lose     func() bool
+}
+
+type flight struct {
+	at   policy.Tenths
+	to   int
+	from Hop
+	m    isup.Message
+}
+
+type site struct {
+	p      *paper
+	no     int
+	x      *Exchange
+	ups    int
+	notes  []string
+	lastAt map[int]policy.Tenths // links keep order
+}
+
+type caller struct {
+	site         int
+	cic          uint16
+	leaves       policy.Tenths
+	answers      []string
+	left, stands bool
+	outAt        map[string]bool // set-ups that its own exchange sent and has not ended
+	lastRelease  policy.Tenths
+	released     bool
+}
+
+func (s *site) Follow()           {}
+func (s *site) Note(text string)  { s.notes = append(s.notes, text) }
+func (s *site) Answered(a Answer) {}
+
+// Transmit carries a message over the paper network. Switches pass on without work; the called line answers at once.
+func (s *site) Transmit(to Hop, m isup.Message) {
+	p := s.p
+	if to.Side == Line {
+		if m.Type == isup.IAM { // the called line
+			p.fly(s.no, s.no, Hop{Side: Line, Point: to.Point}, isup.Message{CIC: m.CIC, Type: isup.ANM})
+		} else if to.Point < CalledFrom {
+			p.heard(s.no, m)
+		}
+		return
+	}
+	far := s.x.groups[to.Peer].number
+	back := p.sites[far].x.byNumber[s.no]
+	from := Hop{Side: Behind, Peer: back}
+	if to.Side == Behind {
+		from.Side = Ahead
+	}
+	if to.Side == Ahead && m.Type == isup.IAM {
+		p.tried(s.no, far, m)
+	}
+	if to.Side == Ahead && m.Type == isup.REL {
+		for _, c := range p.callers {
+			if key := fmt.Sprint(far, m.CIC); c.site == s.no && c.outAt[key] {
+				delete(c.outAt, key)
+				c.released, c.lastRelease = true, p.now
+			}
+		}
+	}
+	p.fly(s.no, far, from, m)
+}
+
+func (p *paper) fly(from, to int, hop Hop, m isup.Message) {
+	s := p.sites[from]
+	at := max(p.now+50, s.lastAt[to])
+	s.lastAt[to] = at
+	p.on = append(p.on, flight{at, to, hop, m})
+}
+
+func (p *paper) fault(format string, args ...any) {
+	p.broken = append(p.broken, fmt.Sprintf(format, args...))
+}
+
+// tried watches the second and fifth rule where a call's own exchange sends it.
+func (p *paper) tried(site, far int, m isup.Message) {
+	c := p.callers[m.Ref]
+	if c == nil || c.site != site {
+		return
+	}
+	if len(c.answers) > 0 || c.left {
+		p.fault("call %v sent after its end", m.Ref)
+	}
+	for key := range c.outAt { // a circuit that both ends seized and the other end keeps: its set-up is void there
+		var far, cic int
+		fmt.Sscan(key, &far, &cic)
+		x := p.sites[site].x
+		if s, _, _ := x.groups[x.byNumber[far]].g.State(uint16(cic)); s == circuit.Incoming || s == circuit.Idle {
+			delete(c.outAt, key)
+		}
+	}
+	if len(c.outAt) > 0 {
+		p.fault("call %v has two tries out: %v and %d", m.Ref, c.outAt, far)
+	}
+	if c.released && p.now < c.lastRelease+3000 {
+		p.fault("call %v sent %d after a release", m.Ref, p.now-c.lastRelease)
+	}
+	c.outAt[fmt.Sprint(far, m.CIC)] = true
+}
+
+// heard is what a subscriber's line hears.
+func (p *paper) heard(site int, m isup.Message) {
+	for ref, c := range p.callers {
+		if c.site != site || c.cic != m.CIC {
+			continue
+		}
+		switch {
+		case m.Type == isup.RLC:
+		case m.Type == isup.REL && c.stands:
+			c.stands = false
+		case c.left || len(c.answers) > 0:
+			p.fault("call %v: %v after its end (%v, left %v)", ref, m.Type, c.answers, c.left)
+		case p.now > c.leaves:
+			p.fault("call %v answered too late", ref)
+		default:
+			c.answers = append(c.answers, m.Type.String())
+			c.stands = m.Type == isup.ANM
+		}
+	}
+}
+
+func newPaper(n, size int) *paper {
+	p := &paper{now: 1000000, callers: map[isup.Reference]*caller{}, lose: func() bool { return false }}
+	var list []policy.Switch
+	for i := range n {
+		list = append(list, policy.Switch{ID: uint32(100 + i), Number: i, Ready: true})
+	}
+	for i := range n {
+		s := &site{p: p, no: i, lastAt: map[int]policy.Tenths{}}
+		p.sites = append(p.sites, s)
+		p.start(s, list, size)
+	}
+	for i := range n {
+		p.wire(i)
+	}
+	p.pass(5000)
+	return p
+}
+
+func (p *paper) start(s *site, list []policy.Switch, size int) {
+	var near []Neighbour
+	for j := range list {
+		if j != s.no {
+			near = append(near, Neighbour{j, size})
+		}
+	}
+	d := policy.Deployment{Seed: uint64(s.no + 7*s.ups), Own: s.no, MaxTries: 4, ReleaseTime: 3000, CancelsAllowed: true, ColdFrom: 1,
+		FallMultiple: 3, FallWindow: 15000, RampTime: 1,
+		Bearers: []policy.Bearer{{Revenue: 1, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000},
+			{Revenue: 5, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000}}}
+	s.x = New(d, near, s, p.now, func(d policy.Deployment, e policy.Exchange, now policy.Tenths) Decider {
+		return policy.New(d, e, now)
+	})
+	s.x.Listed(p.now, true, list)
+}
+
+func (p *paper) wire(i int) {
+	s := p.sites[i]
+	s.ups++
+	s.x.OwnUp(p.now, "1")
+	for j := range s.x.groups {
+		s.x.LinkUp(p.now, j, "1")
+	}
+}
+
+func (p *paper) call(site, dest, bearer, width int, ttl policy.Tenths) isup.Reference {
+	p.nextCall++
+	ref := isup.Reference{Point: Point(site), Identity: p.nextCall}
+	c := &caller{site: site, cic: uint16(p.nextCall & isup.CICMost), leaves: p.now + ttl, outAt: map[string]bool{}}
+	p.callers[ref] = c
+	p.sites[site].x.Receive(p.now, Hop{Side: Line, Point: Lines}, isup.Message{CIC: c.cic, Type: isup.IAM, Width: width,
+		Digits: Called(dest, p.nextCall), Ref: ref, Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: uint32(ttl),
+			Bearer: uint8(bearer)}}, 0)
+	return ref
+}
+
+func (p *paper) hangUp(ref isup.Reference) {
+	c := p.callers[ref]
+	c.left, c.stands = true, false
+	p.sites[c.site].x.Receive(p.now, Hop{Side: Line, Point: Lines}, isup.Message{CIC: c.cic, Type: isup.REL, Cause: isup.NormalClearing}, 0)
+}
+
+// pass lets time go by, from one thing due to the next.
+func (p *paper) pass(by policy.Tenths) {
+	for end := p.now + by; p.now < end; {
+		next := end
+		for _, f := range p.on {
+			next = min(next, f.at)
+		}
+		for _, s := range p.sites {
+			next = min(next, s.x.Next())
+		}
+		p.now = max(p.now, next)
+		for i := 0; i < len(p.on); {
+			f := p.on[i]
+			if f.at > p.now {
+				i++
+				continue
+			}
+			p.on = slices.Delete(p.on, i, i+1)
+			if p.lose() {
+				continue
+			}
+			if f.m.Type == isup.ANM || f.m.Type == isup.REL || f.m.Type == isup.GRS || f.m.Type == isup.RSC {
+				p.ended(f)
+			}
+			p.sites[f.to].x.Receive(p.now, f.from, f.m, 0)
+			i = 0
+		}
+		for _, s := range p.sites {
+			if s.x.Next() <= p.now {
+				s.x.Tick(p.now)
+			}
+		}
+		for ref, c := range p.callers {
+			if !c.left && len(c.answers) == 0 && p.now > c.leaves+100 {
+				p.fault("call %v has no answer", ref)
+				c.left = true
+			}
+		}
+	}
+}
+
+// ended takes a backward message, or a reset, as the end of the try it answers.
+func (p *paper) ended(f flight) {
+	if f.m.Type == isup.GRS || f.m.Type == isup.RSC {
+		for _, c := range p.callers {
+			for cic := f.m.CIC; cic <= f.m.CIC+uint16(f.m.Range); cic++ {
+				key := fmt.Sprint(p.sites[f.to].x.groups[f.from.Peer].number, cic)
+				if c.site == f.to && c.outAt[key] {
+					delete(c.outAt, key)
+					c.released, c.lastRelease = true, p.now
+				}
+			}
+		}
+		return
+	}
+	if f.from.Side != Ahead {
+		return
+	}
+	key := fmt.Sprint(p.sites[f.to].x.groups[f.from.Peer].number, f.m.CIC)
+	for _, c := range p.callers {
+		if c.site == f.to {
+			delete(c.outAt, key)
+		}
+	}
+}
+
+func (p *paper) idle(t interface{ Fatalf(string, ...any) }) {
+	for _, s := range p.sites {
+		for i := range s.x.groups {
+			if g := s.x.groups[i].g; g.Free() != g.Size() {
+				t.Fatalf("exchange %d holds %d of %d circuits to %d with no call left; %d calls", s.no, g.Size()-g.Free(), g.Size(),
+					s.x.groups[i].number, len(s.x.calls))
+			}
+		}
+		if len(s.x.calls) > 0 || len(s.x.lines) > 0 || s.x.waiting != 0 {
+			t.Fatalf("exchange %d keeps %d calls, %d lines, %d waiting", s.no, len(s.x.calls), len(s.x.lines), s.x.waiting)
+		}
+	}
+}
+
+func (p *paper) clean(t interface{ Fatalf(string, ...any) }) {
+	if len(p.broken) > 0 {
+		t.Fatalf("%d rules broken: %v", len(p.broken), p.broken[:min(3, len(p.broken))])
+	}
+	for _, s := range p.sites {
+		for _, n := range s.notes {
+			if len(n) > 6 && n[:6] == "fault:" {
+				t.Fatalf("exchange %d: %s", s.no, n)
+			}
+		}
+	}
+}
+
+func TestCallStandsAndIsReleasedFromEitherSide(t *testing.T) {
+	p := newPaper(3, 10)
+	ref := p.call(0, 1, 0, 1, 30000)
+	p.pass(2000)
+	if c := p.callers[ref]; !c.stands {
+		t.Fatalf("answers %v", c.answers)
+	}
+	if free := p.sites[1].x.groups[p.sites[1].x.byNumber[0]].g.Free(); free != 9 {
+		t.Fatalf("the far end counts %d free", free)
+	}
+	p.hangUp(ref)
+	p.pass(2000)
+	p.idle(t)
+	p.clean(t)
+}
+
+func TestCallGoesOverATandemWhenTheGroupIsFull(t *testing.T) {
+	p := newPaper(3, 12)
+	var refs []isup.Reference
+	for range 18 {
+		refs = append(refs, p.call(0, 1, 1, 1, 30000))
+		p.pass(500)
+	}
+	stood := 0
+	for _, ref := range refs {
+		if p.callers[ref].stands {
+			stood++
+		}
+	}
+	if stood < 15 {
+		t.Fatalf("%d of 18 calls stand over 12 direct circuits and one tandem", stood)
+	}
+	for _, ref := range refs {
+		if p.callers[ref].stands {
+			p.hangUp(ref)
+		}
+	}
+	p.pass(5000)
+	p.idle(t)
+	p.clean(t)
+}
+
+// Calls, hang-ups, lost messages, broken and reset links, and restarted controllers, in any order. After each step the
+// rules hold as the subscribers and the wires see them; when all is over, no circuit and no memory is left held.
+func TestRulesHoldUnderAnyMixtureOfFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "exchanges")
+		p := newPaper(n, rapid.SampledFrom([]int{2, 6, 20}).Draw(t, "circuits"))
+		lossy := rapid.Bool().Draw(t, "lossy")
+		chance := uint32(1)
+		p.lose = func() bool {
+			chance = chance*1664525 + 1013904223
+			return lossy && chance>>24 < 20
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			site := rapid.IntRange(0, n-1).Draw(t, "site")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2, 3, 4:
+				p.call(site, rapid.IntRange(0, n-1).Draw(t, "dest"), rapid.IntRange(0, 1).Draw(t, "bearer"),
+					rapid.SampledFrom([]int{1, 1, 2}).Draw(t, "width"), policy.Tenths(rapid.IntRange(500, 30000).Draw(t, "ttl")))
+			case 5, 6:
+				refs := slices.SortedFunc(maps.Keys(p.callers), func(a, b isup.Reference) int { return int(a.Identity) - int(b.Identity) })
+				for _, ref := range refs {
+					if c := p.callers[ref]; !c.left && (c.stands || len(c.answers) == 0) && c.site == site {
+						p.hangUp(ref)
+						break
+					}
+				}
+			case 7:
+				if len(p.sites[site].x.groups) > 0 {
+					peer := rapid.IntRange(0, n-2).Draw(t, "peer")
+					p.sites[site].x.LinkDown(p.now, peer)
+					for _, c := range p.callers { // what was out there is known to be cut from here on
+						for key := range c.outAt {
+							if c.site == site && len(key) > 0 && key[0] == byte('0'+p.sites[site].x.groups[peer].number) {
+								delete(c.outAt, key)
+							}
+						}
+					}
+					p.pass(policy.Tenths(rapid.IntRange(0, 3000).Draw(t, "down")))
+					p.sites[site].x.LinkUp(p.now, peer, rapid.SampledFrom([]string{"1", "2"}).Draw(t, "life"))
+				}
+			default:
+			}
+			p.pass(policy.Tenths(rapid.IntRange(0, 5000).Draw(t, "pass")))
+			if len(p.broken) > 0 {
+				break
+			}
+		}
+		p.clean(t)
+		p.lose = func() bool { return false }
+		for _, c := range p.callers {
+			if c.stands || len(c.answers) == 0 {
+				c.left = true
+			}
+		}
+		for ref, c := range p.callers {
+			if c.left {
+				p.hangUp(ref)
+			}
+		}
+		p.pass(400000)
+		p.clean(t)
+		p.idle(t)
+	})
+}
--- /dev/null
+++ b/internal/exchange/receive.go
@@ -0,0 +1,321 @@
+package exchange
+
+import (
+	"strconv"
+
+	"indigodrift/internal/circuit"
+	"indigodrift/internal/isup"
+	"indigodrift/policy"
+)
+
+// Receive takes a message from a hop. age is how long it waited before it was read.
+func (x *Exchange) Receive(now policy.Tenths, from Hop, m isup.Message, age policy.Tenths) {
+	x.now = now
+	if from.Side == Line {
+		x.fromLine(from, m, age)
+	} else {
+		x.fromTrunk(from, m, age)
+	}
+	x.settle()
+}
+
+func (x *Exchange) fromLine(from Hop, m isup.Message, age policy.Tenths) {
+	key := lineKey{from.Point, m.CIC}
+	k := x.calls[x.lines[key]]
+	switch m.Type {
+	case isup.IAM:
+		if k != nil {
+			x.out.Note("fault: a subscriber's circuit began a second call")
+			return
+		}
+		x.nextID++
+		x.begin(x.nextID, leg{from, circuit.Bundle{CIC: m.CIC}}, m, age)
+	case isup.ANM:
+		if k != nil && k.state == Answering {
+			x.stand(k, m.Says)
+		}
+	case isup.REL:
+		x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: isup.RLC})
+		switch {
+		case k == nil:
+		case k.in.hop == from && k.in.bundle.CIC == m.CIC:
+			x.forwardGone(k, m.Cause)
+		default:
+			x.backward(k, policy.Released, policy.NoReason, m)
+		}
+	}
+}
+
+func (x *Exchange) fromTrunk(from Hop, m isup.Message, age policy.Tenths) {
+	g := &x.groups[from.Peer]
+	state, id, known := g.g.State(m.CIC)
+	if !known {
+		x.out.Note("fault: a message names circuit " + strconv.Itoa(int(m.CIC)) + ", which the group to exchange " +
+			strconv.Itoa(g.number) + " does not have")
+		return
+	}
+	g.changed = true
+	k := x.calls[id]
+	reply := func(t isup.Type) { x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: t, Range: m.Range}) }
+	switch m.Type {
+	case isup.IAM:
+		if from.Side != Behind {
+			x.out.Note("fault: a set-up came back along a link that carries this exchange's own")
+			return
+		}
+		x.arrived(from, m, age)
+	case isup.ACM:
+		g.g.Answered(x.now, m.CIC)
+	case isup.ANM:
+		switch {
+		case state == circuit.Idle: // it tells of a call that is long over here: both ends start anew
+			reply(isup.RSC)
+		case k != nil && k.state == Trying && k.out.hop.Peer == from.Peer && from.Side == Ahead &&
+			(state == circuit.Seized || state == circuit.Outgoing):
+			g.g.Answered(x.now, m.CIC)
+			x.circuits(from.Peer, m.Says)
+			x.stand(k, m.Says)
+		}
+	case isup.REL:
+		if state == circuit.Seized || state == circuit.Outgoing || state == circuit.Incoming {
+			g.g.Cleared(x.now, m.CIC, true)
+		}
+		reply(isup.RLC)
+		switch {
+		case k == nil:
+		case state == circuit.Incoming:
+			x.forwardGone(k, m.Cause)
+		case state == circuit.Seized || state == circuit.Outgoing:
+			end, why := ending(m)
+			x.backward(k, end, why, m)
+		}
+	case isup.RLC:
+		switch state {
+		case circuit.Releasing, circuit.Resetting:
+			g.g.Cleared(x.now, m.CIC, false)
+		case circuit.Incoming: // their end holds this circuit to be free: a call on it would stand for nobody
+			g.g.Cleared(x.now, m.CIC, false)
+			if k != nil {
+				x.forwardGone(k, isup.NetworkOutOfOrder)
+			}
+		}
+	case isup.BLO:
+		g.g.Block(m.CIC, true)
+		reply(isup.BLA)
+	case isup.UBL:
+		g.g.Block(m.CIC, false)
+		reply(isup.UBA)
+	case isup.RSC:
+		if lost, ok := g.g.WasReset(x.now, m.CIC, 1); ok {
+			reply(isup.RLC)
+			x.lose(from.Peer, lost)
+		}
+	case isup.GRS:
+		if lost, ok := g.g.WasReset(x.now, m.CIC, int(m.Range)+1); ok {
+			reply(isup.GRA)
+			x.lose(from.Peer, lost)
+		}
+	case isup.GRA:
+		g.g.ResetDone(x.now, m.CIC, int(m.Range)+1)
+	}
+}
+
+// arrived takes a neighbour's set-up: which of two that seized the same circuit stands, then the call itself.
+func (x *Exchange) arrived(from Hop, m isup.Message, age policy.Tenths) {
+	g := &x.groups[from.Peer]
+	b := circuit.Bundle{CIC: m.CIC, Slots: m.Slots}
+	x.nextID++ // the call's number, should it be taken
+	verdict, yielded := g.g.Arrived(x.now, x.nextID, b, m.Width)
+	switch verdict {
+	case circuit.Unknown:
+		x.out.Note("fault: a set-up names circuits that the group to exchange " + strconv.Itoa(g.number) + " does not have")
+		x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: isup.REL, Cause: isup.NoCircuit, Location: isup.LocalNetwork})
+	case circuit.Taken:
+		for _, id := range yielded {
+			if k := x.calls[id]; k != nil && k.state == Trying {
+				x.repeatTry(k)
+			}
+		}
+		x.begin(x.nextID, leg{from, b}, m, age)
+	}
+}
+
+// repeatTry sends a try whose circuits went to the other end's call on other circuits of the same group (the automatic
+// repeat attempt of Q.764, 2.8.1), else hands the call back to the module.
+func (x *Exchange) repeatTry(k *call) {
+	g := &x.groups[k.out.hop.Peer]
+	if b, ok := g.g.Seize(x.now, k.id, k.ask.Width); ok && g.up {
+		k.out.bundle = b
+		x.setUp(k)
+		return
+	}
+	x.tryEnded(k, policy.Blocked, policy.NoCircuit, 0, isup.Says{})
+}
+
+// begin takes a new call: one that ends on a line here is rung, all others are offered to the module.
+func (x *Exchange) begin(id uint32, in leg, m isup.Message, age policy.Tenths) {
+	transit := in.hop.Side == Behind
+	dest, err := strconv.Atoi(m.Digits[:min(numberDigits, len(m.Digits))])
+	refuse := func(c isup.Cause) {
+		says := isup.Says{}
+		if x.draining && x.d.ComeBackMost > 0 {
+			says = isup.Says{Has: isup.PartComeBack, ComeBack: uint32(x.d.ComeBackMost)}
+		}
+		x.release(in, isup.Message{Type: isup.REL, Cause: c, Location: isup.LocalNetwork, Says: says})
+	}
+	bearer := int(m.Says.Bearer)
+	switch {
+	case x.draining:
+		refuse(isup.Congestion)
+		return
+	case err != nil || bearer >= len(x.d.Bearers) || m.Width < 1:
+		x.out.Note("fault: a call with a number or bearer type that there is not")
+		refuse(isup.TemporaryFailure)
+		return
+	case transit && m.Hops == 0:
+		refuse(isup.Congestion)
+		return
+	}
+	left := x.d.Bearers[bearer].Abandon
+	if m.Says.Has&isup.PartLeft != 0 {
+		left = policy.Tenths(m.Says.Left) - age
+	}
+	if left -= handBack; left <= 0 {
+		// Its caller gave up while it lay unread, and will say so: nothing may be sent for it, not even a refusal.
+		if transit {
+			refuse(isup.Congestion)
+		}
+		return
+	}
+	k := &call{id: id, in: in, ref: m.Ref, digits: m.Digits, beganAt: x.now, leavesAt: x.now + left, hops: hopsAtStart}
+	if transit {
+		k.hops = m.Hops - 1
+	}
+	k.ask = policy.Call{ID: k.id, Number: number(m.Digits), Bearer: bearer, Dest: dest, Width: m.Width, Advice: -1, TTL: left,
+		Redial: m.Says.Marks&isup.Redial != 0, Cut: m.Says.Marks&isup.CutBefore != 0, Transit: transit && dest != x.own}
+	x.calls[k.id] = k
+	if in.hop.Side == Line {
+		x.lines[lineKey{in.hop.Point, in.bundle.CIC}] = k.id
+	}
+	x.at(k.leavesAt+handBack/2, dueLeave, uint64(k.id)) // after any try's own time-out at that instant
+	if dest == x.own {
+		x.ring(k)
+		return
+	}
+	if tandem, ok := x.advice[dest]; ok && !k.ask.Transit {
+		k.ask.Advice = tandem
+	}
+	k.decided = true
+	x.waiting++
+	x.decide.Offer(x.now, k.ask)
+}
+
+// number is the called number as the module knows it.
+func number(digits string) uint64 {
+	n, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n + 1 // 0 means not told
+}
+
+// ring passes a call on to a line of this exchange.
+func (x *Exchange) ring(k *call) {
+	x.nextLine++
+	at := x.nextLine % (blockMost * (isup.CICMost + 1))
+	k.out = leg{Hop{Side: Line, Point: CalledFrom + uint16(at>>12)}, circuit.Bundle{CIC: uint16(at & isup.CICMost)}}
+	x.lines[lineKey{k.out.hop.Point, k.out.bundle.CIC}] = k.id
+	x.become(k, Answering)
+	x.setUp(k)
+}
+
+// setUp sends the set-up of a call's present try.
+func (x *Exchange) setUp(k *call) {
+	marks := uint8(0)
+	if k.ask.Redial {
+		marks |= isup.Redial
+	}
+	if k.ask.Cut {
+		marks |= isup.CutBefore
+	}
+	until := k.leavesAt
+	if k.state == Trying {
+		until = min(until, k.limitAt)
+	}
+	x.out.Transmit(k.out.hop, isup.Message{CIC: k.out.bundle.CIC, Type: isup.IAM, Digits: k.digits, Width: k.ask.Width,
+		Slots: k.out.bundle.Slots, Hops: k.hops, Ref: k.ref, Says: isup.Says{Has: isup.PartLeft | isup.PartCall,
+			Left: uint32(max(0, until-x.now)), Stamp: uint32(x.now), Bearer: uint8(k.ask.Bearer), Marks: marks}})
+}
+
+// stand passes an answer back to the caller's side.
+func (x *Exchange) stand(k *call, says isup.Says) {
+	x.become(k, Standing)
+	x.answered(k, Stood, 0)
+	x.out.Transmit(k.in.hop, isup.Message{CIC: k.in.bundle.CIC, Type: isup.ANM})
+	if k.decided {
+		x.decide.Stands(x.now, k.id, k.tries-1)
+	}
+}
+
+// forwardGone ends a call whose caller's side released it.
+func (x *Exchange) forwardGone(k *call, cause isup.Cause) {
+	x.dropTry(k, cause)
+	switch {
+	case k.decided && k.state == Standing:
+		x.later = append(x.later, report{id: k.id, try: k.tries - 1, sw: k.sw, end: policy.Released, final: true})
+	case k.decided:
+		x.decide.CallerLeft(x.now, k.id)
+		x.answered(k, Left, 0)
+	}
+	x.become(k, Over)
+}
+
+// backward takes a release from the called side, the circuits of that side being dealt with already.
+func (x *Exchange) backward(k *call, end policy.Ending, why policy.Reason, m isup.Message) {
+	switch {
+	case k.state == Trying:
+		k.cause = m.Cause
+		wait := policy.Tenths(0)
+		if m.Says.Has&isup.PartComeBack != 0 {
+			wait = policy.Tenths(m.Says.ComeBack)
+		}
+		x.tryEnded(k, end, why, wait, m.Says)
+	case k.state == Standing:
+		if m.Cause != isup.NormalClearing {
+			end = policy.Cut
+		}
+		if k.decided {
+			x.later = append(x.later, report{id: k.id, try: k.tries - 1, sw: k.sw, end: end, final: true, says: m.Says})
+		}
+		x.release(k.in, isup.Message{Type: isup.REL, Cause: m.Cause, Location: m.Location})
+		x.become(k, Over)
+	case k.state == Answering:
+		x.release(k.in, isup.Message{Type: isup.REL, Cause: m.Cause, Location: m.Location, Says: m.Says})
+		x.become(k, Over)
+	}
+}
+
+// ending reads what a release tells about a try.
+func ending(m isup.Message) (policy.Ending, policy.Reason) {
+	switch m.Cause {
+	case isup.NormalClearing:
+		return policy.Released, policy.NoReason
+	case isup.UserBusy:
+		return policy.Faulted, policy.NumberBusy
+	case isup.NoCircuit:
+		if m.Location == isup.Transit {
+			return policy.Blocked, policy.TurnedBack
+		}
+		return policy.Blocked, policy.NoCircuit
+	case isup.Congestion:
+		if m.Location == isup.Transit {
+			return policy.Blocked, policy.DestFull
+		}
+		return policy.Blocked, policy.ProcessorFull
+	case isup.OutOfOrder, isup.NetworkOutOfOrder:
+		return policy.Unreached, policy.NoReason
+	case isup.TimerExpiry:
+		return policy.Blocked, policy.TurnedBack // its own try timed out beyond, and is called off there
+	}
+	return policy.Faulted, policy.NoReason
+}
