--- /dev/null
+++ b/cmd/indigodrift/day.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"indigodrift/internal/audit"
+	"indigodrift/internal/day"
+
+	"github.com/spf13/cobra"
+)
+
+func dayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "day", Short: "Play scripted days on loopback"}
+	var seed int64
+	var onlyJSON bool
+	o := day.Options{Progress: os.Stderr}
+	run := &cobra.Command{Use: "run FILE", Short: "Play a day and judge the rules from its sockets", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := day.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if seed >= 0 {
+				s.Seed = uint64(seed)
+			}
+			if o.Program, err = os.Executable(); err != nil {
+				return fmt.Errorf("own program: %w", err)
+			}
+			if onlyJSON {
+				o.Progress = io.Discard
+			}
+			ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer cancel()
+			rep, err := day.Run(ctx, s, o)
+			if err != nil {
+				return err
+			}
+			if err := rep.Print(os.Stdout, onlyJSON); err != nil {
+				return err
+			}
+			if len(rep.Breaches) > 0 {
+				return exit(1)
+			}
+			return nil
+		}}
+	run.Flags().Int64Var(&seed, "seed", -1, "seed in place of the file's")
+	run.Flags().BoolVar(&onlyJSON, "json", false, "print the last line alone")
+	run.Flags().StringVar(&o.Routing, "routing", "module", "module, or a baseline: direct, random")
+	run.Flags().StringVar(&o.Plant, "plant", "", "break a rule once: answer, copy, drain, cold, release")
+	run.Flags().StringVar(&o.Keep, "keep", "", "folder for the audit's log and the controllers' logs")
+	list := &cobra.Command{Use: "list [FOLDER]", Short: "List the days of a folder, examples/days if none is named", Args: cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			folder := filepath.Join("examples", "days")
+			if len(args) > 0 {
+				folder = args[0]
+			}
+			files, err := filepath.Glob(filepath.Join(folder, "*.hcl"))
+			if err != nil {
+				return fmt.Errorf("list %s: %w", folder, err)
+			}
+			for _, f := range files {
+				s, err := day.Read(f)
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%s\t%d exchanges, %.0f calls/s, %v, %d troubles: %s\n", f, s.Exchanges, s.Rate, s.Length, len(s.Troubles), s.About)
+			}
+			return nil
+		}}
+	c.AddCommand(run, list)
+	return c
+}
+
+func auditCommand() *cobra.Command {
+	return &cobra.Command{Use: "audit FILE...", Short: "Judge recorded traffic again", Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			broken := 0
+			for _, name := range args {
+				f, err := os.Open(name)
+				if err != nil {
+					return fmt.Errorf("audit: %w", err)
+				}
+				events, err := audit.Read(f)
+				f.Close()
+				if err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+				found := audit.Judge(events)
+				broken += len(found)
+				for _, b := range found {
+					fmt.Printf("%s: rule %d broken at %.3f s: %s\n", name, b.Rule, float64(b.At)/1e6, b.Text)
+				}
+				fmt.Printf("%s: %d events, %d breaches\n", name, len(events), len(found))
+			}
+			if broken > 0 {
+				return exit(1)
+			}
+			return nil
+		}}
+}
--- /dev/null
+++ b/internal/baseline/baseline.go
@@ -0,0 +1,128 @@
+// Package baseline holds the two plain ways of routing that the deciding module is measured beside: direct only, and
+// direct, else one tandem drawn anew for each call. Scripted days alone use it; an exchange in service never does.
+package baseline
+
+import (
+	"math/rand/v2"
+
+	"indigodrift/internal/exchange"
+	"indigodrift/policy"
+)
+
+type far struct {
+	number int
+	ready  bool
+	free   int
+}
+
+type call struct {
+	ask   policy.Call
+	until policy.Tenths
+	tries int
+}
+
+// Plain routes a call direct; with a tandem it tries one drawn at random when the direct group is full or turned it back.
+type Plain struct {
+	d      policy.Deployment
+	out    policy.Exchange
+	tandem bool
+	chance *rand.Rand
+	far    map[uint32]*far
+	order  []uint32
+	calls  map[uint32]*call
+}
+
+// Build makes a builder for internal/exchange.
+func Build(tandem bool) func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider {
+	return func(d policy.Deployment, out policy.Exchange, _ policy.Tenths) exchange.Decider {
+		return &Plain{d: d, out: out, tandem: tandem, chance: rand.New(rand.NewPCG(d.Seed, 5)), far: map[uint32]*far{},
+			calls: map[uint32]*call{}}
+	}
+}
+
+// Offer takes a call and sends or blocks it at once.
+func (p *Plain) Offer(now policy.Tenths, ask policy.Call) bool {
+	k := &call{ask: ask, until: now + ask.TTL}
+	p.calls[ask.ID] = k
+	p.route(now, k, true)
+	return true
+}
+
+func (p *Plain) route(now policy.Tenths, k *call, direct bool) {
+	var fit []uint32
+	for _, id := range p.order {
+		f := p.far[id]
+		if !f.ready || f.number == p.d.Own || f.free < k.ask.Width {
+			continue
+		}
+		if f.number == k.ask.Dest && direct {
+			p.send(now, k, id)
+			return
+		}
+		if f.number != k.ask.Dest {
+			fit = append(fit, id)
+		}
+	}
+	if p.tandem && !k.ask.Transit && k.tries < 2 && len(fit) > 0 {
+		p.send(now, k, fit[p.chance.IntN(len(fit))])
+		return
+	}
+	delete(p.calls, k.ask.ID)
+	p.out.Block(k.ask.ID, 0)
+}
+
+func (p *Plain) send(now policy.Tenths, k *call, to uint32) {
+	k.tries++
+	p.far[to].free -= k.ask.Width
+	p.out.Send(k.ask.ID, to, k.until-now)
+}
+
+// Stands forgets the call; its end needs no choice.
+func (p *Plain) Stands(_ policy.Tenths, id uint32, _ int) { delete(p.calls, id) }
+
+// Ended tries a tandem after a try that never ran, and otherwise gives the call up.
+func (p *Plain) Ended(now policy.Tenths, id uint32, _ int, _ uint32, end policy.Ending, final bool, _ policy.Reason, _ policy.Tenths, _ policy.Report) {
+	k := p.calls[id]
+	switch {
+	case k == nil:
+	case final:
+		delete(p.calls, id)
+	case end == policy.Blocked || end == policy.Unsent || end == policy.Unreached:
+		p.route(now, k, false)
+	default:
+		delete(p.calls, id)
+		p.out.Abort(id)
+	}
+}
+
+// Circuits takes the free circuits towards a switch.
+func (p *Plain) Circuits(_ policy.Tenths, sw uint32, rep policy.Report) {
+	if f := p.far[sw]; f != nil && rep.Free >= 0 {
+		f.free = rep.Free
+	}
+}
+
+// CallerLeft forgets the call.
+func (p *Plain) CallerLeft(_ policy.Tenths, id uint32) { delete(p.calls, id) }
+
+// Woken and ListLost need no choice here.
+func (p *Plain) Woken(policy.Tenths, uint64) {}
+func (p *Plain) ListLost(policy.Tenths)      {}
+
+// Listed takes the list of switches.
+func (p *Plain) Listed(_ policy.Tenths, whole bool, list []policy.Switch) {
+	if whole {
+		for _, f := range p.far {
+			f.ready = false
+		}
+	}
+	for _, s := range list {
+		f := p.far[s.ID]
+		if f == nil {
+			f = &far{}
+			p.far[s.ID] = f
+			p.order = append(p.order, s.ID)
+		}
+		f.number, f.ready = s.Number, s.Ready
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,7 +96,8 @@
 	behind map[uint32]int // point code: index of the neighbour
 	turned atomic.Int64   // calls answered at the door as the inbox was full
 	Ready  func()         // called once when the own switch first answers
-	Sent   func(to exchange.Hop, m isup.Message) (exchange.Hop, isup.Message, bool)
+	// Sent, if set, stands between the exchange and the links: scripted days alone set it, to plant a broken rule.
+	Sent func(to exchange.Hop, m isup.Message, send func(exchange.Hop, isup.Message))
 }
 
 // New makes the station of a site; Run runs it.
@@ -162,10 +164,7 @@
 			if quit == nil && now >= drainBy {
 				return fmt.Errorf("%w: %d", ErrUnanswered, s.x.Unanswered())
 			}
-			// what came meanwhile goes before the next timer
-			if !s.drainInbox(64) {
-				continue
-			}
+			s.drainInbox(256) // what came meanwhile goes before the next timer
 			continue
 		}
 		timer.Reset(trunk.Span(next - now))
@@ -196,17 +195,16 @@
 	}
 }
 
-// drainInbox handles what waits, at most so many; it tells whether there was anything.
-func (s *Station) drainInbox(most int) bool {
-	for n := range most {
+// drainInbox handles what waits, at most so many.
+func (s *Station) drainInbox(most int) {
+	for range most {
 		select {
 		case ev := <-s.inbox:
 			s.handle(ev)
 		default:
-			return n > 0
+			return
 		}
 	}
-	return true
 }
 
 func (s *Station) handle(ev event) {
@@ -330,10 +328,8 @@
 func (h *hands) Transmit(to exchange.Hop, m isup.Message) {
 	s := (*Station)(h)
 	if s.Sent != nil {
-		var ok bool
-		if to, m, ok = s.Sent(to, m); !ok {
-			return
-		}
+		s.Sent(to, m, func(to exchange.Hop, m isup.Message) { s.buf = s.transmit(s.buf, to, m) })
+		return
 	}
 	s.buf = s.transmit(s.buf, to, m)
 }
@@ -351,3 +347,7 @@
 			"tries", a.Tries, "took", trunk.Span(a.Took), "transit", a.Transit, "come_back", trunk.Span(a.ComeBack))
 	}
 }
+
+// Reload takes settings read again while the exchange runs. Nothing in them can change under calls yet, so it tells
+// whether they are the ones in force.
+func (s *Station) Reload(again Site) bool { return reflect.DeepEqual(s.site, again) }
--- /dev/null
+++ b/internal/day/alone.go
@@ -0,0 +1,69 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"indigodrift/internal/audit"
+	"indigodrift/internal/standin"
+)
+
+// Alone runs one stand-in of a day by itself until ctx ends: a switch, a register whose switches all look ready, or the
+// subscribers of switches that run elsewhere.
+func Alone(ctx context.Context, s Script, part string, number int, switches string, listening func(address string)) error {
+	p := draw(s)
+	log := audit.NewLog(io.Discard)
+	if number < 0 || number >= s.Exchanges {
+		return fmt.Errorf("exchange %d, but the day's are numbered below %d", number, s.Exchanges)
+	}
+	open := func() (net.Listener, error) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err == nil {
+			listening(ln.Addr().String())
+		}
+		return ln, err
+	}
+	switch part {
+	case "switch":
+		sw := standin.NewSwitch(number, p.work, s.Seed, log)
+		if err := sw.Start(open); err != nil {
+			return err
+		}
+		defer sw.Stop()
+		<-ctx.Done()
+	case "register":
+		var all []*standin.Switch
+		for i := range s.Exchanges {
+			sw := standin.NewSwitch(i, p.work, s.Seed, log)
+			if err := sw.Start(func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }); err != nil {
+				return err
+			}
+			defer sw.Stop()
+			all = append(all, sw)
+		}
+		ln, err := open()
+		if err != nil {
+			return fmt.Errorf("register: %w", err)
+		}
+		r := standin.NewRegister(all, p.sizes, s.ListLate, s.ListEvery, log)
+		r.Start(ln)
+		defer r.Stop()
+		<-ctx.Done()
+	case "subscribers":
+		at := strings.Split(switches, ",")
+		if len(at) != s.Exchanges {
+			return fmt.Errorf("%d addresses of switches, the day has %d exchanges", len(at), s.Exchanges)
+		}
+		subs := standin.NewSubscribers(s.Exchanges, p.callers, s.Habits, s.Seed, func(e int) (net.Conn, error) {
+			return net.DialTimeout("tcp", at[e], time.Second)
+		})
+		subs.Run(ctx.Done())
+		rep := count(s, p.callers)
+		fmt.Printf("offered %d, stood %d, refused %d, failed %d\n", rep.All.Offered, rep.All.Stood, rep.All.Refused, rep.All.Failed)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/day/draw.go
@@ -0,0 +1,135 @@
+package day
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"indigodrift/internal/circuit"
+	"indigodrift/internal/standin"
+)
+
+// plan is what the seed makes of a script: who calls whom and when, and the circuits between any two.
+type plan struct {
+	share   [][]float64 // of all traffic, from one exchange to another
+	sizes   [][]int
+	callers []*standin.Caller
+	work    standin.Work
+}
+
+// draw makes the plan. All calls are drawn ahead, whatever the exchanges will do.
+func draw(s Script) plan {
+	chance := rand.New(rand.NewPCG(s.Seed, 0xd1))
+	n := s.Exchanges
+	p := plan{share: square[float64](n), sizes: square[int](n), work: s.Work}
+	sum := 0.0
+	for a := range n {
+		for b := range n {
+			if a != b {
+				p.share[a][b] = math.Exp(s.Uneven * chance.NormFloat64())
+				sum += p.share[a][b]
+			}
+		}
+	}
+	holding, weight := 0.0, 0.0
+	for _, t := range s.Bearers {
+		holding += t.Share * float64(t.Width) * t.Holding.Seconds()
+		weight += t.Share
+	}
+	holding /= weight
+	for a := range n {
+		for b := range n {
+			p.share[a][b] /= sum
+		}
+	}
+	for a := range n {
+		for b := range a {
+			erlangs := (p.share[a][b] + p.share[b][a]) * s.Rate * holding
+			size := min(circuit.MostCircuits, max(1, int(math.Round(erlangs*(1+s.Spare)))))
+			p.sizes[a][b], p.sizes[b][a] = size, size
+		}
+	}
+	// A call takes two set-ups and about eight answers and releases of an eighth of that work, three of its units in all.
+	perExchange := s.Rate / float64(n)
+	p.work.SetUp = time.Duration(s.ProcessorAt / (3 * perExchange) * float64(time.Second))
+	p.work.Finish = p.work.SetUp / 8
+	p.callers = drawCallers(s, p.share, weight, chance)
+	return p
+}
+
+func square[T any](n int) [][]T {
+	all := make([][]T, n)
+	for i := range all {
+		all[i] = make([]T, n)
+	}
+	return all
+}
+
+// surge is a time in which more calls are offered than usual.
+type surge struct {
+	from, to time.Duration
+	times    float64
+	hot      map[int]bool // exchanges whose callers they are, nil all
+}
+
+func drawCallers(s Script, share [][]float64, weight float64, chance *rand.Rand) []*standin.Caller {
+	var surges []surge
+	for _, t := range s.Troubles {
+		switch t.Kind {
+		case "load_jump":
+			surges = append(surges, surge{t.Start, t.Start + t.Length, t.Size, nil})
+		case "hot_caller":
+			hot := map[int]bool{}
+			for _, e := range pick(s.Exchanges, t.Part, chance) {
+				hot[e] = true
+			}
+			surges = append(surges, surge{t.Start, t.Start + t.Length, t.Size, hot})
+		}
+	}
+	most := 1.0 // arrivals are drawn at the greatest rate and thinned to the present one
+	for _, g := range surges {
+		most *= max(1, g.times)
+	}
+	var all []*standin.Caller
+	cumulated := make([]float64, 0, len(share)*len(share))
+	total := 0.0
+	for a := range share {
+		for b := range share {
+			total += share[a][b]
+			cumulated = append(cumulated, total)
+		}
+	}
+	for at := time.Duration(0); ; {
+		at += time.Duration(chance.ExpFloat64() / (s.Rate * s.Load * most) * float64(time.Second))
+		if at > s.Length {
+			return all
+		}
+		pair := min(sort.SearchFloat64s(cumulated, chance.Float64()*total), len(cumulated)-1)
+		from := pair / len(share)
+		now := 1.0
+		for _, g := range surges {
+			if at >= g.from && at < g.to && (g.hot == nil || g.hot[from]) {
+				now *= g.times
+			}
+		}
+		if chance.Float64()*most > now {
+			continue
+		}
+		kind, left := 0, chance.Float64()*weight
+		for kind < len(s.Bearers)-1 && left > s.Bearers[kind].Share {
+			left -= s.Bearers[kind].Share
+			kind++
+		}
+		t := s.Bearers[kind]
+		all = append(all, &standin.Caller{At: at, From: from, Dest: pair % len(share), Bearer: kind, Width: t.Width,
+			Holding: time.Duration(chance.ExpFloat64() * float64(t.Holding)), Abandon: span(s.Deployment.Bearers[kind].Abandon)})
+	}
+}
+
+// pick draws a part of the exchanges, at least one.
+func pick(n int, part float64, chance *rand.Rand) []int {
+	all := chance.Perm(n)[:max(1, min(n, int(math.Round(part*float64(n)))))]
+	sort.Ints(all)
+	return all
+}
--- /dev/null
+++ b/internal/day/run.go
@@ -0,0 +1,354 @@
+package day
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"indigodrift/internal/audit"
+	"indigodrift/internal/standin"
+)
+
+// Options of one run.
+type Options struct {
+	Program  string // the indigodrift binary that controllers are started from
+	Routing  string // "module", or a baseline: "direct", "random"
+	Plant    string // rule to be broken once: answer, copy, drain, cold, release
+	Keep     string // folder for the log and the controllers' output; "" a temporary one, removed at the end
+	Progress io.Writer
+}
+
+// run is a day being played.
+type run struct {
+	script      Script
+	opts        Options
+	plan        plan
+	dir         string
+	log         *audit.Log
+	switches    []*standin.Switch
+	addresses   []string
+	register    *standin.Register
+	registerAt  string
+	subscribers *standin.Subscribers
+	controllers []*controller
+	ctx         context.Context
+	all         sync.WaitGroup
+	mu          sync.Mutex
+	cpu         time.Duration
+	memory      int64 // the most that one controller held, kilobytes
+}
+
+// Run plays a day and returns its report. It ends all it started, also when ctx ends early.
+func Run(ctx context.Context, s Script, o Options) (Report, error) {
+	r := &run{script: s, opts: o, plan: draw(s), ctx: ctx}
+	dir := o.Keep
+	var err error
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "indigodrift-day-"); err != nil {
+			return Report{}, fmt.Errorf("folder for the day: %w", err)
+		}
+		defer os.RemoveAll(dir)
+	} else if err = os.MkdirAll(dir, 0o755); err != nil {
+		return Report{}, fmt.Errorf("folder for the day: %w", err)
+	}
+	r.dir = dir
+	name := filepath.Join(dir, "audit.log")
+	f, err := os.Create(name)
+	if err != nil {
+		return Report{}, fmt.Errorf("audit log: %w", err)
+	}
+	r.log = audit.NewLog(f)
+	err = r.play()
+	if closing := errors.Join(r.log.Close(), f.Close()); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	breaches, tries, err := judgeFile(name)
+	if err != nil {
+		return Report{}, err
+	}
+	rep := count(s, r.plan.callers)
+	rep.Tries, rep.Breaches = tries, breaches
+	rep.CPU, rep.Memory, rep.DialLate = r.cpu, r.memory, r.subscribers.Late()
+	return rep, nil
+}
+
+// judgeFile audits a log and counts its route tries.
+func judgeFile(name string) ([]audit.Breach, int, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, 0, fmt.Errorf("audit log: %w", err)
+	}
+	defer f.Close()
+	events, err := audit.Read(f)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", name, err)
+	}
+	tries := 0
+	for _, e := range events {
+		if e.Kind == audit.Try {
+			tries++
+		}
+	}
+	return audit.Judge(events), tries, nil
+}
+
+func (r *run) play() error {
+	d := r.script.Deployment
+	for rule, v := range map[int]int64{audit.RuleGrace: span(d.DrainGrace).Microseconds(), audit.RuleRelease: span(d.ReleaseTime).Microseconds(),
+		audit.RuleRamp: span(d.RampTime).Microseconds(), audit.RuleWindow: span(d.FallWindow).Microseconds(),
+		audit.RuleMultiple: int64(d.FallMultiple * 1000), audit.RuleColdFrom: int64(d.ColdFrom * 1000)} {
+		r.log.Add(audit.Event{Kind: audit.Rule, Site: rule, Value: v})
+	}
+	ctx, end := context.WithCancel(r.ctx)
+	r.ctx = ctx
+	defer r.stopAll(end)
+	for i := range r.script.Exchanges {
+		r.switches = append(r.switches, standin.NewSwitch(i, r.plan.work, r.script.Seed, r.log))
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("switch %d: %w", i, err)
+		}
+		r.addresses = append(r.addresses, ln.Addr().String())
+		if err := r.switches[i].Start(func() (net.Listener, error) { return ln, nil }); err != nil {
+			return err
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	r.registerAt = ln.Addr().String()
+	r.register = standin.NewRegister(r.switches, r.plan.sizes, r.script.ListLate, r.script.ListEvery, r.log)
+	r.register.Start(ln)
+	r.subscribers = standin.NewSubscribers(r.script.Exchanges, r.plan.callers, r.script.Habits, r.script.Seed, func(e int) (net.Conn, error) {
+		return net.DialTimeout("tcp", r.addresses[e], time.Second)
+	})
+	for i := range r.script.Exchanges {
+		r.controllers = append(r.controllers, &controller{no: i, run: r})
+		if err := r.startController(i); err != nil {
+			return err
+		}
+	}
+	for _, c := range r.controllers {
+		if err := c.wait(20 * time.Second); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(r.opts.Progress, "%d exchanges are in service, %d callers will call\n", len(r.switches), len(r.plan.callers))
+	if !r.sleep(r.script.Settle) {
+		return context.Cause(r.ctx)
+	}
+	for i, t := range r.script.Troubles {
+		chance := rand.New(rand.NewPCG(r.script.Seed, uint64(1000+i)))
+		k := kinds[t.Kind]
+		in := pick(r.script.Exchanges, t.Part, chance)
+		r.after(t.Start, func() {
+			fmt.Fprintf(r.opts.Progress, "%6.1f s  %v\n", t.Start.Seconds(), t)
+			if k.begin == nil {
+				return
+			}
+			if over := k.begin(r, t, in, chance); over != nil {
+				r.after(t.Length, over)
+			}
+		})
+	}
+	if r.opts.Plant == "drain" || r.opts.Plant == "cold" {
+		fmt.Fprintln(r.opts.Progress, "planted break:", r.opts.Plant)
+	}
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		r.subscribers.Run(stop)
+		close(done)
+	}()
+	tail := 5 * time.Second
+	for _, b := range r.script.Deployment.Bearers {
+		tail = max(tail, span(b.Abandon))
+	}
+	select {
+	case <-done:
+	case <-time.After(r.script.Length + tail):
+	case <-r.ctx.Done():
+	}
+	close(stop)
+	<-done
+	return context.Cause(r.ctx)
+}
+
+func (r *run) sleep(d time.Duration) bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// after does something later, unless the day ends before.
+func (r *run) after(d time.Duration, do func()) {
+	r.all.Go(func() {
+		if r.sleep(d) {
+			do()
+		}
+	})
+}
+
+func (r *run) stopAll(end func()) {
+	end()
+	r.all.Wait()
+	for _, c := range r.controllers {
+		c.goOn()
+		c.signal(syscall.SIGTERM)
+	}
+	for _, c := range r.controllers {
+		c.leave(3 * time.Second)
+	}
+	if r.register != nil {
+		r.register.Stop()
+	}
+	for _, s := range r.switches {
+		s.Stop()
+	}
+}
+
+func (r *run) startSwitch(e int) {
+	err := r.switches[e].Start(func() (net.Listener, error) {
+		var ln net.Listener
+		var err error
+		for range 50 { // the address may still be held for a moment
+			if ln, err = net.Listen("tcp", r.addresses[e]); err == nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return ln, err
+	})
+	if err != nil {
+		fmt.Fprintln(r.opts.Progress, err)
+	}
+}
+
+// controller is one exchange's program, a process of its own.
+type controller struct {
+	no    int
+	run   *run
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ready chan struct{}
+	done  chan struct{}
+}
+
+func (r *run) startController(e int) error {
+	c := r.controllers[e]
+	file := filepath.Join(r.dir, fmt.Sprintf("site-%d.hcl", e))
+	if err := os.WriteFile(file, r.siteFile(e), 0o644); err != nil {
+		return fmt.Errorf("site file: %w", err)
+	}
+	out, err := os.OpenFile(filepath.Join(r.dir, fmt.Sprintf("controller-%d.log", e)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("controller's log: %w", err)
+	}
+	defer out.Close()
+	args := []string{"serve", "-f", file}
+	if r.opts.Routing != "" && r.opts.Routing != "module" {
+		args = append(args, "--routing", r.opts.Routing)
+	}
+	if r.opts.Plant != "" && (e == 0 || r.opts.Plant != "answer" && r.opts.Plant != "copy") {
+		args = append(args, "--plant", r.opts.Plant)
+	}
+	cmd := exec.Command(r.opts.Program, args...)
+	cmd.Stderr = out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives the day, however it ends
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		return fmt.Errorf("controller %d: %w", e, err)
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("controller %d: %w", e, err)
+	}
+	ready, done := make(chan struct{}), make(chan struct{})
+	c.mu.Lock()
+	c.cmd, c.ready, c.done = cmd, ready, done
+	c.mu.Unlock()
+	go func() {
+		if bufio.NewScanner(pipe).Scan() {
+			close(ready)
+		}
+		io.Copy(io.Discard, pipe)
+		cmd.Wait()
+		if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			r.mu.Lock()
+			r.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+			r.memory = max(r.memory, u.Maxrss)
+			r.mu.Unlock()
+		}
+		close(done)
+	}()
+	return nil
+}
+
+func (c *controller) wait(most time.Duration) error {
+	select {
+	case <-c.ready:
+		return nil
+	case <-c.done:
+		return fmt.Errorf("controller %d ended at once; see its log in %s", c.no, c.run.dir)
+	case <-time.After(most):
+		return fmt.Errorf("controller %d is not ready after %v", c.no, most)
+	}
+}
+
+func (c *controller) signal(s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd != nil {
+		c.cmd.Process.Signal(s)
+	}
+}
+
+func (c *controller) stop() {
+	c.run.log.Add(audit.Event{Kind: audit.Stopped, Site: c.no})
+	c.signal(syscall.SIGSTOP)
+}
+
+func (c *controller) goOn() {
+	c.signal(syscall.SIGCONT)
+	c.run.log.Add(audit.Event{Kind: audit.Went, Site: c.no})
+}
+
+func (c *controller) kill() {
+	c.run.log.Add(audit.Event{Kind: audit.Killed, Site: c.no})
+	c.signal(syscall.SIGKILL)
+	c.mu.Lock()
+	done := c.done
+	c.mu.Unlock()
+	<-done
+}
+
+func (c *controller) leave(most time.Duration) {
+	c.mu.Lock()
+	done := c.done
+	c.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(most):
+		c.signal(syscall.SIGKILL)
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/day/sitefile.go
@@ -0,0 +1,52 @@
+package day
+
+import (
+	"fmt"
+
+	"github.com/hashicorp/hcl/v2/hclwrite"
+	"github.com/zclconf/go-cty/cty"
+
+	"indigodrift/policy"
+)
+
+// siteFile writes the settings of one exchange of the day.
+func (r *run) siteFile(e int) []byte {
+	f := hclwrite.NewEmptyFile()
+	b := f.Body()
+	text := func(b *hclwrite.Body, name, v string) { b.SetAttributeValue(name, cty.StringVal(v)) }
+	whole := func(b *hclwrite.Body, name string, v int) { b.SetAttributeValue(name, cty.NumberIntVal(int64(v))) }
+	number := func(b *hclwrite.Body, name string, v float64) { b.SetAttributeValue(name, cty.NumberFloatVal(v)) }
+	during := func(b *hclwrite.Body, name string, v policy.Tenths) { text(b, name, span(v).String()) }
+	d := r.script.Deployment
+	whole(b, "exchange", e)
+	whole(b, "exchanges", r.script.Exchanges)
+	whole(b, "seed", int(r.script.Seed)*1000+e)
+	text(b, "own_switch", r.addresses[e])
+	text(b, "register", r.registerAt)
+	whole(b, "tries", d.MaxTries)
+	during(b, "release_time", d.ReleaseTime)
+	during(b, "come_back_most", d.ComeBackMost)
+	during(b, "drain_grace", d.DrainGrace)
+	b.SetAttributeValue("cancels", cty.BoolVal(d.CancelsAllowed))
+	cold := b.AppendNewBlock("cold", nil).Body()
+	number(cold, "from", d.ColdFrom)
+	during(cold, "ramp", d.RampTime)
+	number(cold, "fall_multiple", d.FallMultiple)
+	during(cold, "fall_window", d.FallWindow)
+	for i, t := range d.Bearers {
+		n := b.AppendNewBlock("bearer", []string{r.script.Bearers[i].Name}).Body()
+		number(n, "revenue", t.Revenue)
+		number(n, "late_share", t.LateShare)
+		during(n, "gos_target", t.GoSTarget)
+		during(n, "abandon", t.Abandon)
+	}
+	for j, address := range r.addresses {
+		if j != e {
+			n := b.AppendNewBlock("neighbour", []string{fmt.Sprintf("exchange-%d", j)}).Body()
+			whole(n, "exchange", j)
+			whole(n, "circuits", r.plan.sizes[e][j])
+			text(n, "address", address)
+		}
+	}
+	return f.Bytes()
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,107 @@
+// Package site reads the settings of one exchange and checks them before anything starts. docs/operators.md lists each
+// with its unit and what holds when it is left out.
+package site
+
+import (
+	"math"
+	"time"
+
+	"indigodrift/internal/circuit"
+	"indigodrift/internal/control"
+	"indigodrift/internal/exchange"
+	"indigodrift/internal/hclread"
+	"indigodrift/policy"
+)
+
+const (
+	exchangesMost = 999 // called numbers begin with three digits of the exchange
+	forever       = 24 * time.Hour
+)
+
+// Read takes a site file. Its error has a line for each fault, with file, line, column and reason.
+func Read(name string) (control.Site, error) {
+	f, b, err := hclread.Open(name)
+	if err != nil {
+		return control.Site{}, err
+	}
+	s := parse(b)
+	return s, f.Err()
+}
+
+func parse(b *hclread.Block) control.Site {
+	var s control.Site
+	d := &s.Deployment
+	s.Exchanges = b.Whole("exchanges", 2, exchangesMost, 1)
+	d.Own = b.Whole("exchange", 0, exchangesMost-1, -1)
+	if d.Own >= s.Exchanges {
+		b.FaultAt("exchange", "exchange %d, but exchanges are numbered below %d", d.Own, s.Exchanges)
+	}
+	d.Seed = uint64(b.Whole("seed", 0, math.MaxInt32, 1))
+	s.OwnSwitch = b.Address("own_switch", false)
+	s.Register = b.Address("register", false)
+	Rules(b, d)
+	queues := b.Only("queues", false)
+	s.Inbox = queues.Whole("inbox", 16, 1<<20, 8192)
+	s.LinkMost = queues.Whole("link_octets", 4096, 1<<30, 1<<20)
+	queues.Done()
+	d.Bearers = Bearers(b, nil)
+	seen := map[int]bool{}
+	for _, n := range b.Blocks("neighbour", true) {
+		near := control.Neighbour{Neighbour: exchange.Neighbour{Number: n.Whole("exchange", 0, exchangesMost-1, -1),
+			Circuits: n.Whole("circuits", 1, circuit.MostCircuits, 0)}, Address: n.Address("address", false)}
+		switch {
+		case near.Number >= s.Exchanges:
+			n.FaultAt("exchange", "the group %q has no far end: exchanges are numbered below %d", n.Label, s.Exchanges)
+		case near.Number == d.Own:
+			n.FaultAt("exchange", "the group %q leads to this exchange itself", n.Label)
+		case seen[near.Number]:
+			n.FaultAt("exchange", "exchange %d has a group already", near.Number)
+		}
+		seen[near.Number] = true
+		s.Neighbours = append(s.Neighbours, near)
+		n.Done()
+	}
+	b.Done()
+	return s
+}
+
+// Rules reads what site and day files say alike of tries, releases, drains and cold starts.
+func Rules(b *hclread.Block, d *policy.Deployment) {
+	d.MaxTries = b.Whole("tries", 1, 16, 4)
+	d.ReleaseTime = b.Span("release_time", 0, time.Minute, 300*time.Millisecond)
+	d.ComeBackMost = b.Span("come_back_most", 0, time.Hour, 0)
+	d.DrainGrace = b.Span("drain_grace", 0, time.Minute, 250*time.Millisecond)
+	d.CancelsAllowed = b.Flag("cancels", true)
+	cold := b.Only("cold", false)
+	d.ColdFrom = cold.Number("from", 0.01, 1, 0.3)
+	d.RampTime = cold.Span("ramp", 0, time.Hour, 14*time.Second)
+	d.FallMultiple = cold.Number("fall_multiple", 1, 100, 3)
+	d.FallWindow = cold.Span("fall_window", time.Millisecond, time.Minute, 1500*time.Millisecond)
+	cold.Done()
+}
+
+// Bearers reads the bearer types, in the order written; more reads what else may stand in one.
+func Bearers(b *hclread.Block, more func(*hclread.Block)) []policy.Bearer {
+	var all []policy.Bearer
+	seen := map[string]bool{}
+	for _, n := range b.Blocks("bearer", true) {
+		if seen[n.Label] {
+			n.Fault("bearer type %q stands twice", n.Label)
+		}
+		seen[n.Label] = true
+		t := policy.Bearer{Revenue: n.Number("revenue", 0, 1e6, math.NaN()), LateShare: n.Number("late_share", 0, 1, 0),
+			GoSTarget: n.Span("gos_target", time.Millisecond, forever, -1), Abandon: n.Span("abandon", time.Millisecond, forever, -1)}
+		if t.GoSTarget > t.Abandon {
+			n.FaultAt("gos_target", "gos_target is longer than abandon")
+		}
+		all = append(all, t)
+		if more != nil {
+			more(n)
+		}
+		n.Done()
+	}
+	if len(all) == 0 || len(all) > 255 {
+		b.Fault("%d bearer types, 1 to 255 are needed", len(all))
+	}
+	return all
+}
