--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,6 +93,7 @@
 	lags   []lag.Lag // one for each link, used by its reader alone
 	buf    []byte
 	stall  lag.Stall
+	held   []event // read since a stall ended, not handled yet
 	behind map[uint32]int // point code: index of the neighbour
 	turned atomic.Int64   // calls answered at the door as the inbox was full
 	Ready  func()         // called once when the own switch first answers
@@ -155,6 +156,8 @@
 		until, reading := s.stall.Reading(now)
 		if reading {
 			next = max(next, until)
+		} else {
+			s.release()
 		}
 		if next <= now {
 			s.x.Tick(now)
@@ -179,7 +182,7 @@
 			}
 		case ev := <-s.inbox:
 			s.woke(next)
-			s.handle(ev)
+			s.take(ev)
 			s.drainInbox(256)
 		case <-timer.C:
 			s.woke(next)
@@ -200,13 +203,40 @@
 	for range most {
 		select {
 		case ev := <-s.inbox:
-			s.handle(ev)
+			s.take(ev)
 		default:
 			return
 		}
 	}
 }
 
+// take handles what was read, or keeps it while what lay unread during a stall comes in.
+func (s *Station) take(ev event) {
+	if _, reading := s.stall.Reading(s.clock.Now()); reading {
+		s.held = append(s.held, ev)
+		return
+	}
+	s.release()
+	s.handle(ev)
+}
+
+// release handles what was read after a stall: the own switch's word first, as a caller who left meanwhile must not be
+// answered because a far end's answer was read before the caller's release.
+func (s *Station) release() {
+	if len(s.held) == 0 {
+		return
+	}
+	held := s.held
+	s.held = nil
+	for _, own := range []bool{true, false} {
+		for _, ev := range held {
+			if (ev.link == len(s.links)-1) == own {
+				s.handle(ev)
+			}
+		}
+	}
+}
+
 func (s *Station) handle(ev event) {
 	now := s.clock.Now()
 	own := ev.link == len(s.links)-1
@@ -240,8 +270,8 @@
 		case membership.Accepted:
 			s.x.Listed(now, ev.list.Whole, told)
 			s.reg.Ack(ev.list.Version)
-		case membership.Refused:
-			s.reg.Ask()
+		case membership.Refused: // asked for anew at the module's pace: a register that goes on so was asked without end
+			s.x.ListLost(now)
 		}
 	case evAdvice:
 		s.x.Advise(ev.advice)
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -43,6 +43,13 @@
 type job struct {
 	cost time.Duration
 	do   func(wait time.Duration)
+	void *bool // set: the set-up was given up while it waited, and costs nothing
+}
+
+// queued names a set-up that waits in line: who sent it, on which circuit.
+type queued struct {
+	point uint32
+	cic   uint16
 }
 
 type peer struct {
@@ -79,6 +86,7 @@
 	lost   map[uint32]map[uint16]bool
 	busy   map[uint32]map[uint16]uint32 // by exchange whose calls they are: circuits held, as slots of the call
 	lines  map[uint16]isup.Reference    // subscriber's circuit: the call on it
+	inLine map[queued]*bool
 	all    sync.WaitGroup
 }
 
@@ -100,6 +108,7 @@
 	s.ln, s.up, s.fell, s.drain = ln, true, false, false
 	s.bootAt, s.cold = time.Now(), s.lives > 1 || !s.work.Reuse
 	s.peers, s.busy, s.lines = map[uint32]*peer{}, map[uint32]map[uint16]uint32{}, map[uint16]isup.Reference{}
+	s.inLine = map[queued]*bool{}
 	s.urgent, s.fresh, s.behind, s.setups, s.seen = nil, nil, 0, nil, 0
 	s.kick, s.stop = make(chan struct{}, 1), make(chan struct{})
 	cold := uint16(0)
@@ -131,7 +140,11 @@
 func (s *Switch) Lamp() (life int, up time.Duration, ready, draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lives, time.Since(s.bootAt), s.up && !s.drain, s.up && s.drain
+	up = time.Since(s.bootAt)
+	if !s.cold { // it has run for long when the day begins
+		up += time.Hour
+	}
+	return s.lives, up, s.up && !s.drain, s.up && s.drain
 }
 
 // Set changes what disturbs the switch; Drain its lamp.
@@ -240,7 +253,7 @@
 		if len(s.urgent) == 0 {
 			queue = &s.fresh
 		}
-		if found := len(*queue) > 0 && !s.dis.Hung; !found {
+		if len(*queue) == 0 || s.dis.Hung {
 			s.mu.Unlock()
 			select {
 			case <-stop:
@@ -252,6 +265,12 @@
 		}
 		j = (*queue)[0]
 		*queue = (*queue)[1:]
+		if j.void != nil && *j.void {
+			s.behind -= j.cost
+			s.mu.Unlock()
+			s.nudge()
+			continue
+		}
 		took := time.Duration(float64(j.cost) / s.strength())
 		s.mu.Unlock()
 		free = maxTime(free, time.Now().Add(-2*time.Millisecond)).Add(took) // sleeping long is made up for
@@ -282,11 +301,36 @@
 	if fresh {
 		queue = &s.fresh
 	}
-	*queue = append(*queue, job{cost, do})
+	*queue = append(*queue, job{cost: cost, do: do})
 	s.behind += cost
 	s.nudgeLocked()
 }
 
+// addSetUp puts a set-up in line for the own controller, from which a release drops it again.
+func (s *Switch) addSetUp(point uint32, m isup.Message, arrived time.Time) {
+	void := new(bool)
+	at := queued{point, m.CIC}
+	s.inLine[at] = void
+	s.add(true, s.work.SetUp, func(time.Duration) {
+		if s.inLine[at] == void {
+			delete(s.inLine, at)
+		}
+		s.toController(point, m, arrived)
+	})
+	s.fresh[len(s.fresh)-1].void = void
+}
+
+// dropSetUp takes a set-up out of the line, and tells whether it was there.
+func (s *Switch) dropSetUp(point uint32, cic uint16) bool {
+	void := s.inLine[queued{point, cic}]
+	if void == nil {
+		return false
+	}
+	*void = true
+	delete(s.inLine, queued{point, cic})
+	return true
+}
+
 func (s *Switch) nudge() { s.mu.Lock(); s.nudgeLocked(); s.mu.Unlock() }
 func (s *Switch) nudgeLocked() {
 	select {
@@ -377,11 +421,15 @@
 				s.busy[p.point] = map[uint16]uint32{}
 			}
 			s.busy[p.point][m.CIC] = bits
-			s.add(true, s.work.SetUp, func(time.Duration) { s.toController(p.point, m, arrived) })
+			s.addSetUp(p.point, m, arrived)
 			return
 		case isup.REL:
+			s.dropSetUp(p.point, m.CIC)
 			s.log.Add(audit.Event{Kind: audit.Off, Site: s.Number, Peer: far, CIC: m.CIC})
 		case isup.RSC, isup.GRS:
+			for cic := m.CIC; cic <= m.CIC+uint16(m.Range); cic++ {
+				s.dropSetUp(p.point, cic)
+			}
 			s.log.Add(audit.Event{Kind: audit.Reset, Site: s.Number, Peer: far, CIC: m.CIC, Value: int64(m.Range)})
 		}
 		s.add(false, s.work.Finish, func(time.Duration) { s.toController(p.point, m, arrived) })
@@ -408,9 +456,13 @@
 	switch m.Type {
 	case isup.IAM:
 		if !s.refuses(p, own, p.point, m) {
-			s.add(true, s.work.SetUp, func(time.Duration) { s.toController(p.point, m, arrived) })
+			s.addSetUp(p.point, m, arrived)
 		}
 	case isup.REL:
+		if s.dropSetUp(p.point, m.CIC) {
+			s.add(false, s.work.Finish, func(time.Duration) { s.write(p, own, p.point, isup.Message{CIC: m.CIC, Type: isup.RLC}) })
+			return
+		}
 		s.add(false, s.work.Finish, func(time.Duration) { s.toController(p.point, m, arrived) })
 	}
 }
