--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,7 +93,7 @@
 	lags   []lag.Lag // one for each link, used by its reader alone
 	buf    []byte
 	stall  lag.Stall
-	held   []event // read since a stall ended, not handled yet
+	held   []event        // read since a stall ended, not handled yet
 	behind map[uint32]int // point code: index of the neighbour
 	turned atomic.Int64   // calls answered at the door as the inbox was full
 	Ready  func()         // called once when the own switch first answers
@@ -292,7 +292,12 @@
 }
 
 // Up, Down, List, Advice and Lost hand over what happened.
-func (r *reader) Up(link int, life string)  { r.put(event{kind: evUp, link: link, life: life}) }
+func (r *reader) Up(link int, life string) {
+	// A switch in a new life has a new clock: with what was learned of the old one, every call seemed to have waited for
+	// as long as the old life had lasted, and none was taken.
+	r.lags[link] = lag.Lag{}
+	r.put(event{kind: evUp, link: link, life: life})
+}
 func (r *reader) Down(link int, err error)  { r.put(event{kind: evDown, link: link, err: err}) }
 func (r *reader) List(l membership.List)    { r.put(event{kind: evList, list: l}) }
 func (r *reader) Advice(advice map[int]int) { r.put(event{kind: evAdvice, advice: advice}) }
