--- a/cmd/indigodrift/day.go
+++ b/cmd/indigodrift/day.go
@@ -29,7 +29,8 @@
 			if seed >= 0 {
 				s.Seed = uint64(seed)
 			}
-			if o.Program, err = os.Executable(); err != nil {
+			program, err := os.Executable()
+			if err != nil {
 				return fmt.Errorf("own program: %w", err)
 			}
 			if onlyJSON {
@@ -37,7 +38,7 @@
 			}
 			ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer cancel()
-			rep, err := day.Run(ctx, s, o)
+			rep, err := day.Run(ctx, s, day.OnLoopback(program, o))
 			if err != nil {
 				return err
 			}
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -111,10 +111,13 @@
 		j.close(e, true)
 	case Back:
 		j.close(e, false)
-	case Reset:
+	case Reset, ResetIn:
+		at, by := e.Site, e.Peer
+		if e.Kind == ResetIn {
+			at, by = by, at
+		}
 		for cic := e.CIC; cic <= e.CIC+uint16(e.Value); cic++ {
-			j.close(Event{At: e.At, Site: e.Site, Peer: e.Peer, CIC: cic}, true)
-			j.close(Event{At: e.At, Site: e.Peer, Peer: e.Site, CIC: cic}, true)
+			j.close(Event{At: e.At, Site: at, Peer: by, CIC: cic}, true)
 		}
 	case Broke:
 		for k := range j.tries {
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -27,7 +27,8 @@
 	Try     Kind = 't' // a set-up from the controller of Peer read at the switch of Site; CIC, Slots
 	Off     Kind = 'c' // that controller's release of it read
 	Back    Kind = 'b' // an answer or release written back: Value is the message type
-	Reset   Kind = 's' // a reset for CIC to CIC+Value written to, or read from, the controller of Peer at Site
+	Reset   Kind = 's' // a reset of CIC to CIC+Value read from the controller of Peer at switch Site
+	ResetIn Kind = 'i' // the same, written to the controller of Site, for what it sent to Peer
 	Broke   Kind = 'd' // the link of controller Peer to switch Site broke
 	Told    Kind = 'w' // list Value written to controller Site: switch Peer may be sent to (CIC 1) or not (CIC 0)
 	Ack     Kind = 'k' // controller Site says that list Value is in force
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,6 +65,7 @@
 	evList
 	evAdvice
 	evLost
+	evDo
 )
 
 type event struct {
@@ -77,6 +78,7 @@
 	err    error
 	list   membership.List
 	advice map[int]int
+	do     func()
 }
 
 // Station is one running exchange.
@@ -153,6 +155,7 @@
 	for {
 		now := s.clock.Now()
 		next := s.x.Next()
+		s.stood(s.stall.Works(now))
 		until, reading := s.stall.Reading(now)
 		if reading {
 			next = max(next, until)
@@ -181,20 +184,20 @@
 				drainBy = max(drainBy, now+b.Abandon)
 			}
 		case ev := <-s.inbox:
-			s.woke(next)
+			s.stood(s.stall.Woke(s.clock.Now(), next))
 			s.take(ev)
 			s.drainInbox(256)
 		case <-timer.C:
-			s.woke(next)
+			s.stood(s.stall.Woke(s.clock.Now(), next))
 		}
 	}
 }
 
-func (s *Station) woke(due policy.Tenths) {
-	now := s.clock.Now()
-	if s.stall.Woke(now, due) {
-		s.clock.stalled.Store(int64(now))
-		s.log.Info("this process stood still", "for", trunk.Span(now-due))
+// stood notes that the process stood still until now.
+func (s *Station) stood(stood bool) {
+	if stood {
+		s.clock.stalled.Store(int64(s.stall.Ended()))
+		s.log.Info("this process stood still")
 	}
 }
 
@@ -212,7 +215,9 @@
 
 // take handles what was read, or keeps it while what lay unread during a stall comes in.
 func (s *Station) take(ev event) {
-	if _, reading := s.stall.Reading(s.clock.Now()); reading {
+	now := s.clock.Now()
+	s.stood(s.stall.Works(now))
+	if _, reading := s.stall.Reading(now); reading {
 		s.held = append(s.held, ev)
 		return
 	}
@@ -278,6 +283,25 @@
 	case evLost:
 		s.log.Info("register lost", "why", ev.err)
 		s.x.ListLost(now)
+	case evDo:
+		ev.do()
+	}
+}
+
+// Do has the goroutine that owns the exchange run something between two events, and waits for it. False: the station has
+// ended.
+func (s *Station) Do(do func()) bool {
+	ran := make(chan struct{})
+	select {
+	case s.inbox <- event{kind: evDo, do: func() { do(); close(ran) }}:
+	case <-s.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-s.done:
+		return false
 	}
 }
 
--- /dev/null
+++ b/internal/day/process.go
@@ -0,0 +1,89 @@
+package day
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// OnLoopback has a day's controllers run as processes of a program, and everybody talk over loopback TCP.
+func OnLoopback(program string, o Options) Options {
+	o.Launch = func(e int, siteFile, routing, plant string) (Program, error) {
+		return start(program, e, siteFile, routing, plant)
+	}
+	o.Listen = func(address string) (net.Listener, error) {
+		if address == "" {
+			address = "127.0.0.1:0"
+		}
+		return net.Listen("tcp", address)
+	}
+	o.Dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }
+	return o
+}
+
+// process is a controller as a process of its own.
+type process struct {
+	cmd         *exec.Cmd
+	ready, done chan struct{}
+}
+
+func start(program string, e int, siteFile, routing, plant string) (Program, error) {
+	out, err := os.OpenFile(filepath.Join(filepath.Dir(siteFile), fmt.Sprintf("controller-%d.log", e)),
+		os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("controller's log: %w", err)
+	}
+	defer out.Close()
+	args := []string{"serve", "-f", siteFile}
+	if routing != "" {
+		args = append(args, "--routing", routing)
+	}
+	if plant != "" {
+		args = append(args, "--plant", plant)
+	}
+	p := &process{cmd: exec.Command(program, args...), ready: make(chan struct{}), done: make(chan struct{})}
+	p.cmd.Stderr = out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives the day, however it ends
+	pipe, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("controller %d: %w", e, err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("controller %d: %w", e, err)
+	}
+	go func() {
+		if in := bufio.NewScanner(pipe); in.Scan() && strings.HasPrefix(in.Text(), "ready") {
+			close(p.ready)
+		}
+		io.Copy(io.Discard, pipe)
+		p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Ready closes when the exchange is in service, Done when the process has ended.
+func (p *process) Ready() <-chan struct{} { return p.ready }
+func (p *process) Done() <-chan struct{}  { return p.done }
+
+// Kill, Drain, Stop and GoOn send the signal that does so.
+func (p *process) Kill()  { p.cmd.Process.Signal(syscall.SIGKILL) }
+func (p *process) Drain() { p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p *process) Stop()  { p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *process) GoOn()  { p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Used is what the process took.
+func (p *process) Used() (time.Duration, int64) {
+	kilobytes := int64(0)
+	if u, ok := p.cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		kilobytes = u.Maxrss
+	}
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime(), kilobytes
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -1,7 +1,6 @@
 package day
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -9,19 +8,30 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"indigodrift/internal/audit"
 	"indigodrift/internal/standin"
 )
 
+// Program is one life of one exchange's controller.
+type Program interface {
+	Ready() <-chan struct{}
+	Done() <-chan struct{}
+	Kill()
+	Drain()
+	Stop() // stands still until GoOn
+	GoOn()
+	Used() (processor time.Duration, kilobytes int64) // once done
+}
+
 // Options of one run.
 type Options struct {
-	Program  string // the indigodrift binary that controllers are started from
+	Launch   func(exchange int, siteFile, routing, plant string) (Program, error)
+	Listen   func(address string) (net.Listener, error) // "" has an address chosen
+	Dial     func(address string) (net.Conn, error)
 	Routing  string // "module", or a baseline: "direct", "random"
 	Plant    string // rule to be broken once: answer, copy, drain, cold, release
 	Keep     string // folder for the log and the controllers' output; "" a temporary one, removed at the end
@@ -117,7 +127,7 @@
 	defer r.stopAll(end)
 	for i := range r.script.Exchanges {
 		r.switches = append(r.switches, standin.NewSwitch(i, r.plan.work, r.script.Seed, r.log))
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := r.opts.Listen("")
 		if err != nil {
 			return fmt.Errorf("switch %d: %w", i, err)
 		}
@@ -126,7 +136,7 @@
 			return err
 		}
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := r.opts.Listen("")
 	if err != nil {
 		return fmt.Errorf("register: %w", err)
 	}
@@ -134,7 +144,7 @@
 	r.register = standin.NewRegister(r.switches, r.plan.sizes, r.script.ListLate, r.script.ListEvery, r.log)
 	r.register.Start(ln)
 	r.subscribers = standin.NewSubscribers(r.script.Exchanges, r.plan.callers, r.script.Habits, r.script.Seed, func(e int) (net.Conn, error) {
-		return net.DialTimeout("tcp", r.addresses[e], time.Second)
+		return r.opts.Dial(r.addresses[e])
 	})
 	for i := range r.script.Exchanges {
 		r.controllers = append(r.controllers, &controller{no: i, run: r})
@@ -211,7 +221,9 @@
 	r.all.Wait()
 	for _, c := range r.controllers {
 		c.goOn()
-		c.signal(syscall.SIGTERM)
+		if p := c.program(); p != nil {
+			p.Drain()
+		}
 	}
 	for _, c := range r.controllers {
 		c.leave(3 * time.Second)
@@ -229,7 +241,7 @@
 		var ln net.Listener
 		var err error
 		for range 50 { // the address may still be held for a moment
-			if ln, err = net.Listen("tcp", r.addresses[e]); err == nil {
+			if ln, err = r.opts.Listen(r.addresses[e]); err == nil {
 				break
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -241,14 +253,12 @@
 	}
 }
 
-// controller is one exchange's program, a process of its own.
+// controller is one exchange's program over all its lives.
 type controller struct {
-	no    int
-	run   *run
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	ready chan struct{}
-	done  chan struct{}
+	no  int
+	run *run
+	mu  sync.Mutex
+	now Program
 }
 
 func (r *run) startController(e int) error {
@@ -257,98 +267,72 @@
 	if err := os.WriteFile(file, r.siteFile(e), 0o644); err != nil {
 		return fmt.Errorf("site file: %w", err)
 	}
-	out, err := os.OpenFile(filepath.Join(r.dir, fmt.Sprintf("controller-%d.log", e)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return fmt.Errorf("controller's log: %w", err)
-	}
-	defer out.Close()
-	args := []string{"serve", "-f", file}
-	if r.opts.Routing != "" && r.opts.Routing != "module" {
-		args = append(args, "--routing", r.opts.Routing)
+	plant := ""
+	if e == 0 || r.opts.Plant != "answer" && r.opts.Plant != "copy" {
+		plant = r.opts.Plant
 	}
-	if r.opts.Plant != "" && (e == 0 || r.opts.Plant != "answer" && r.opts.Plant != "copy") {
-		args = append(args, "--plant", r.opts.Plant)
-	}
-	cmd := exec.Command(r.opts.Program, args...)
-	cmd.Stderr = out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives the day, however it ends
-	pipe, err := cmd.StdoutPipe()
+	p, err := r.opts.Launch(e, file, r.opts.Routing, plant)
 	if err != nil {
-		return fmt.Errorf("controller %d: %w", e, err)
-	}
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("controller %d: %w", e, err)
+		return err
 	}
-	ready, done := make(chan struct{}), make(chan struct{})
 	c.mu.Lock()
-	c.cmd, c.ready, c.done = cmd, ready, done
+	c.now = p
 	c.mu.Unlock()
-	go func() {
-		if bufio.NewScanner(pipe).Scan() {
-			close(ready)
-		}
-		io.Copy(io.Discard, pipe)
-		cmd.Wait()
-		if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-			r.mu.Lock()
-			r.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-			r.memory = max(r.memory, u.Maxrss)
-			r.mu.Unlock()
-		}
-		close(done)
-	}()
 	return nil
 }
 
+func (c *controller) program() Program {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
 func (c *controller) wait(most time.Duration) error {
+	p := c.program()
 	select {
-	case <-c.ready:
+	case <-p.Ready():
 		return nil
-	case <-c.done:
+	case <-p.Done():
 		return fmt.Errorf("controller %d ended at once; see its log in %s", c.no, c.run.dir)
 	case <-time.After(most):
 		return fmt.Errorf("controller %d is not ready after %v", c.no, most)
 	}
 }
 
-func (c *controller) signal(s syscall.Signal) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cmd != nil {
-		c.cmd.Process.Signal(s)
-	}
-}
-
 func (c *controller) stop() {
 	c.run.log.Add(audit.Event{Kind: audit.Stopped, Site: c.no})
-	c.signal(syscall.SIGSTOP)
+	c.program().Stop()
 }
 
 func (c *controller) goOn() {
-	c.signal(syscall.SIGCONT)
-	c.run.log.Add(audit.Event{Kind: audit.Went, Site: c.no})
+	if p := c.program(); p != nil {
+		p.GoOn()
+		c.run.log.Add(audit.Event{Kind: audit.Went, Site: c.no})
+	}
 }
 
 func (c *controller) kill() {
 	c.run.log.Add(audit.Event{Kind: audit.Killed, Site: c.no})
-	c.signal(syscall.SIGKILL)
-	c.mu.Lock()
-	done := c.done
-	c.mu.Unlock()
-	<-done
+	c.end(c.program())
+}
+
+// end kills a program and adds up what it used.
+func (c *controller) end(p Program) {
+	p.Kill()
+	<-p.Done()
+	cpu, memory := p.Used()
+	c.run.mu.Lock()
+	c.run.cpu += cpu
+	c.run.memory = max(c.run.memory, memory)
+	c.run.mu.Unlock()
 }
 
 func (c *controller) leave(most time.Duration) {
-	c.mu.Lock()
-	done := c.done
-	c.mu.Unlock()
-	if done == nil {
-		return
-	}
-	select {
-	case <-done:
-	case <-time.After(most):
-		c.signal(syscall.SIGKILL)
-		<-done
+	if p := c.program(); p != nil {
+		select {
+		case <-p.Done():
+		case <-time.After(most):
+		}
+		c.end(p)
 	}
 }
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sort"
-	"syscall"
 	"time"
 
 	"indigodrift/internal/standin"
@@ -154,7 +153,7 @@
 func controllersRoll(r *run, t Trouble, in []int, _ *rand.Rand) func() {
 	for i, e := range in {
 		r.after(t.Length*time.Duration(i)/time.Duration(len(in)), func() {
-			r.controllers[e].signal(syscall.SIGTERM)
+			r.controllers[e].program().Drain()
 			r.after(seconds(t.Size), func() {
 				r.controllers[e].kill()
 				r.startController(e)
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -188,6 +188,10 @@
 	if m.Says.Has&isup.PartLeft != 0 {
 		left = policy.Tenths(m.Says.Left) - age
 	}
+	if left > 0 && left <= handBack { // no route can serve it now, but it can still be told
+		refuse(isup.TemporaryFailure)
+		return
+	}
 	if left -= handBack; left <= 0 {
 		// Its caller gave up while it lay unread, and will say so: nothing may be sent for it, not even a refusal.
 		if transit {
--- a/internal/lag/stall.go
+++ b/internal/lag/stall.go
@@ -11,13 +11,27 @@
 // that lay unread are read, a timer that fell due meanwhile knows less than the sockets do: it would fail a call whose
 // answer has come, or answer a caller who has left.
 type Stall struct {
+	last  policy.Tenths
 	until policy.Tenths
 	ended policy.Tenths
 }
 
-// Woke tells that the process runs at an instant and was to run at due, if not before.
+// Woke tells that the process runs at an instant, after waiting, and was to run at due, if not before.
 func (s *Stall) Woke(now, due policy.Tenths) (stood bool) {
-	if now-due < stallMin || now < s.until {
+	s.last = now
+	return s.check(now, now-due)
+}
+
+// Works tells that the process runs at an instant, between two pieces of work and without having waited: it can be stopped
+// there as well, and what it has already taken from its sockets is then as old as the stall.
+func (s *Stall) Works(now policy.Tenths) (stood bool) {
+	last := s.last
+	s.last = now
+	return last != 0 && s.check(now, now-last)
+}
+
+func (s *Stall) check(now, gap policy.Tenths) bool {
+	if gap < stallMin {
 		return false
 	}
 	s.until, s.ended = now+readFirst, now
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -517,9 +517,15 @@
 	p := s.peers[own]
 	if m.Says.Has&isup.PartLeft != 0 {
 		waited := uint32(time.Since(arrived) / (100 * time.Microsecond))
-		m.Says.Left -= min(m.Says.Left, waited)
+		if m.Says.Left <= waited { // its caller is gone
+			return
+		}
+		m.Says.Left -= waited
 		m.Says.Stamp = uint32(time.Since(s.bootAt) / (100 * time.Microsecond))
 	}
+	if p != nil && (m.Type == isup.RSC || m.Type == isup.GRS) {
+		s.log.Add(audit.Event{Kind: audit.ResetIn, Site: s.Number, Peer: int(from) - 1, CIC: m.CIC, Value: int64(m.Range)})
+	}
 	if from >= exchange.Lines {
 		switch {
 		case m.Type == isup.IAM && p != nil:
