The audit dates crossing seizures by what a controller has read; plants for all five rules

Rule 2 was reported where both ends had seized a circuit: the audit now follows each set-up to the controller that reads it, also across a stop. It found one real break, of rule 3: a call whose circuit went to the other end was repeated to a switch told off meanwhile; it is not repeated there now, nor to a cold switch.

--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -61,6 +61,7 @@
 	knows    map[int]map[int]bool // switch: controllers told of its present life
 	window   map[int][]Event      // set-ups at a cold switch
 	pushed   map[int]bool
+	ins      map[[2]int][]Event // controller, exchange before it: set-ups written to it of late
 	breaches []Breach
 }
 
@@ -69,7 +70,7 @@
 	j := &judge{dials: map[isup.Reference]*dial{}, sends: map[callKey]*sending{}, tries: map[tryKey]callKey{},
 		pending: map[int]map[int64]int64{}, lists: map[int]map[int64]map[int]bool{}, told: map[int]map[int]int64{},
 		stopped: map[int][]interval{}, killed: map[int][]int64{}, born: map[int]Event{}, knows: map[int]map[int]bool{},
-		window: map[int][]Event{}, pushed: map[int]bool{}}
+		window: map[int][]Event{}, pushed: map[int]bool{}, ins: map[[2]int][]Event{}}
 	last := int64(0)
 	for _, e := range events {
 		j.take(e)
@@ -106,6 +107,8 @@
 	case Try:
 		j.alive(e.Peer, e.At)
 		j.try(e)
+	case In:
+		j.crossed(e)
 	case Off:
 		j.alive(e.Peer, e.At)
 		j.close(e, true)
@@ -138,8 +141,16 @@
 	case Stopped:
 		j.stopped[e.Site] = append(j.stopped[e.Site], interval{e.At, math.MaxInt64})
 	case Went:
-		if s := j.stopped[e.Site]; len(s) > 0 {
+		if s := j.stopped[e.Site]; len(s) > 0 && s[len(s)-1].to == math.MaxInt64 {
 			s[len(s)-1].to = e.At
+			for at, ins := range j.ins { // what was written to it meanwhile is read now
+				for i := range ins {
+					if at[0] == e.Site && ins[i].At >= s[len(s)-1].from-Margin {
+						ins[i].At = e.At
+						j.void(ins[i])
+					}
+				}
+			}
 		}
 	case Killed:
 		j.killed[e.Site] = append(j.killed[e.Site], e.At)
@@ -240,16 +251,10 @@
 		j.sends[key] = s
 	}
 	mine, bits := tryKey{e.Site, e.Peer, e.CIC}, slots(e)
-	// A circuit seized from both ends: the far exchange's set-up makes void what this one's still has out, or the reverse.
-	for other, by := range j.tries {
-		if other.at == e.Peer && other.by == e.Site && other.cic/32 == e.CIC/32 {
-			if o := j.sends[by]; o != nil && o.open[other]&bits != 0 && !o.answered {
-				if keeps(mine, bits, other, o.open[other]) {
-					delete(o.open, other)
-				} else {
-					bits = 0
-				}
-			}
+	for _, in := range j.ins[[2]int{e.Peer, e.Site}] { // read by the sender as it sent this: both seized a circuit
+		if e.At <= in.At+Margin && in.CIC/32 == e.CIC/32 && slots(in)&bits != 0 && !keeps(e.Peer, bits, in.Peer, slots(in)) {
+			bits = 0
+			break
 		}
 	}
 	d := j.dials[e.Ref]
@@ -281,8 +286,41 @@
 	return 1 << (e.CIC%32 - 1)
 }
 
-// keeps tells which of two set-ups that met on circuits stands, by the rule that both exchanges know (docs/protocol.md).
-func keeps(a tryKey, bitsA uint32, b tryKey, bitsB uint32) bool {
+// crossed takes a set-up that reaches a controller: what that controller has out on the same circuits, and the other end
+// keeps, is void from here on, and nothing need be released.
+func (j *judge) crossed(e Event) {
+	at := [2]int{e.Site, e.Peer}
+	recent := j.ins[at][:0]
+	for _, in := range j.ins[at] {
+		if e.At <= in.At+Margin || j.stoppedNow(e.Site) {
+			recent = append(recent, in)
+		}
+	}
+	j.ins[at] = append(recent, e)
+	j.void(e)
+}
+
+func (j *judge) stoppedNow(site int) bool {
+	s := j.stopped[site]
+	return len(s) > 0 && s[len(s)-1].to == math.MaxInt64
+}
+
+// void takes off what a controller has out on circuits that a set-up read by it asks for too and keeps.
+func (j *judge) void(e Event) {
+	for k, by := range j.tries {
+		if k.at != e.Peer || k.by != e.Site || k.cic/32 != e.CIC/32 {
+			continue
+		}
+		if s := j.sends[by]; s != nil && !s.answered && s.open[k]&slots(e) != 0 && !keeps(e.Site, s.open[k], e.Peer, slots(e)) {
+			delete(s.open, k)
+			delete(j.tries, k)
+		}
+	}
+}
+
+// keeps tells whether the set-up of exchange a stands, of two that met on circuits, by the rule that both exchanges know
+// (docs/protocol.md).
+func keeps(a int, bitsA uint32, b int, bitsB uint32) bool {
 	if na, nb := ones(bitsA), ones(bitsB); na != nb {
 		return na > nb
 	}
@@ -291,7 +329,7 @@
 		lowest++
 	}
 	even := (lowest+1)%2 == 0
-	return (a.by > b.by) == even
+	return (a > b) == even
 }
 
 func ones(b uint32) (n int) {
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -25,6 +25,7 @@
 	Leave   Kind = 'x' // its caller's release written to that controller
 	Answer  Kind = 'a' // the controller's answer read from its socket: CIC is the message type
 	Try     Kind = 't' // a set-up from the controller of Peer read at the switch of Site; CIC, Slots
+	In      Kind = 'n' // that set-up written to the controller of Site: it may make void what both ends seized
 	Off     Kind = 'c' // that controller's release of it read
 	Back    Kind = 'b' // an answer or release written back: Value is the message type
 	Reset   Kind = 's' // a reset of CIC to CIC+Value read from the controller of Peer at switch Site
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -208,6 +208,17 @@
 	if routing == "random" {
 		build = baseline.Build(true)
 	}
+	var wrong *Wrong
+	if plant != "" {
+		var near []exchange.Neighbour
+		for _, n := range s.Neighbours {
+			near = append(near, n.Neighbour)
+		}
+		if wrong, err = NewWrong(plant, near); err != nil {
+			return nil, err
+		}
+		build = wrong.Deciding(build)
+	}
 	p.station = control.New(s, build, func(_ context.Context, name string) (net.Conn, error) {
 		p.gate.pass()
 		c, err := m.dial(name)
@@ -222,6 +233,9 @@
 		}
 		return c, nil
 	}, slog.New(slog.DiscardHandler))
+	if wrong != nil {
+		p.station.Sent = wrong.Sent
+	}
 	p.station.Ready = func() { close(p.ready) }
 	ctx, cancel := context.WithCancel(context.Background())
 	p.drain = cancel
@@ -266,10 +280,10 @@
 
 // virtual plays a day in virtual time.
 func virtual(t *testing.T, name string, change func(*Script)) Report {
-	return virtualKeep(t, name, t.TempDir(), change)
+	return virtualPlant(t, name, "", change)
 }
 
-func virtualKeep(t *testing.T, name, dir string, change func(*Script)) Report {
+func virtualPlant(t *testing.T, name, plant string, change func(*Script)) Report {
 	t.Helper()
 	s, err := Read("../../examples/days/" + name)
 	if err != nil {
@@ -277,10 +291,10 @@
 	}
 	change(&s)
 	var rep Report
-
+	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		m := &memory{doors: map[string]*door{}}
-		rep, err = Run(context.Background(), s, Options{Launch: m.launch, Listen: m.listen, Dial: m.dial, Keep: dir, Progress: io.Discard})
+		rep, err = Run(context.Background(), s, Options{Launch: m.launch, Listen: m.listen, Dial: m.dial, Plant: plant, Keep: dir, Progress: io.Discard})
 		if err != nil {
 			t.Error(err)
 		}
@@ -337,6 +351,22 @@
 	}
 }
 
+// A controller that breaks one rule on its sockets is found by the audit, by that rule; the same day without it is clean.
+func TestPlantedBreaksAreFound(t *testing.T) {
+	rulesHold(t, virtual(t, "plant.hcl", func(*Script) {}), 0.3)
+	for plant, rule := range map[string]int{"answer": 1, "copy": 2, "drain": 3, "cold": 4, "release": 5} {
+		t.Run(plant, func(t *testing.T) {
+			rep := virtualPlant(t, "plant.hcl", plant, func(*Script) {})
+			for _, b := range rep.Breaches {
+				if b.Rule == rule {
+					return
+				}
+			}
+			t.Fatalf("not found; the audit told %v", rep.Breaches)
+		})
+	}
+}
+
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if err := goleak.Find(); err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -144,6 +144,8 @@
 	number  int
 	g       *circuit.Group
 	sw      uint32 // id of the switch that serves it, as last listed
+	ready   bool   // and what the list said of it
+	bootAt  policy.Tenths
 	listed  bool
 	up      bool
 	life    string
@@ -458,14 +460,19 @@
 // Listed takes an accepted list of switches.
 func (x *Exchange) Listed(now policy.Tenths, whole bool, list []policy.Switch) {
 	x.now = now
-	ready := map[int]bool{}
+	if whole {
+		for i := range x.groups {
+			x.groups[i].ready = false
+		}
+	}
+	seen := map[int]bool{}
 	for _, s := range list {
 		if i, ok := x.byNumber[s.Number]; ok {
 			x.bySwitch[s.ID] = i
-			if g := &x.groups[i]; !ready[s.Number] {
-				g.sw, g.listed, g.changed = s.ID, true, true
-				ready[s.Number] = s.Ready
+			if g := &x.groups[i]; !seen[i] || !g.ready {
+				g.sw, g.ready, g.bootAt, g.listed, g.changed = s.ID, s.Ready, s.BootAt, true, true
 			}
+			seen[i] = true
 		}
 	}
 	x.decide.Listed(now, whole, list)
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -149,13 +149,18 @@
 }
 
 // repeatTry sends a try whose circuits went to the other end's call on other circuits of the same group (the automatic
-// repeat attempt of Q.764, 2.8.1), else hands the call back to the module.
+// repeat attempt of Q.764, 2.8.1), else hands the call back to the module. The module does not see the repeat, so it goes
+// only where no rule could forbid it: not to a switch that the list has told off since, and not to a cold one, whose
+// budget does not know of it.
 func (x *Exchange) repeatTry(k *call) {
 	g := &x.groups[k.out.hop.Peer]
-	if b, ok := g.g.Seize(x.now, k.id, k.ask.Width); ok && g.up {
-		k.out.bundle = b
-		x.setUp(k)
-		return
+	cold := g.bootAt > 0 && x.now < g.bootAt+x.d.RampTime
+	if g.up && g.ready && g.sw == k.sw && !cold {
+		if b, ok := g.g.Seize(x.now, k.id, k.ask.Width); ok {
+			k.out.bundle = b
+			x.setUp(k)
+			return
+		}
 	}
 	x.tryEnded(k, policy.Blocked, policy.NoCircuit, 0, isup.Says{})
 }
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -523,6 +523,9 @@
 		m.Says.Left -= waited
 		m.Says.Stamp = uint32(time.Since(s.bootAt) / (100 * time.Microsecond))
 	}
+	if p != nil && from < exchange.Lines && m.Type == isup.IAM {
+		s.log.Add(audit.Event{Kind: audit.In, Site: s.Number, Peer: int(from) - 1, Ref: m.Ref, CIC: m.CIC, Slots: m.Slots})
+	}
 	if p != nil && (m.Type == isup.RSC || m.Type == isup.GRS) {
 		s.log.Add(audit.Event{Kind: audit.ResetIn, Site: s.Number, Peer: int(from) - 1, CIC: m.CIC, Value: int64(m.Range)})
 	}
