Tests on loopback with processes killed, of the loop, and benchmarks of a call's parts

A call costs its owner's goroutine less where the states of a bundle are looked for in its own multiplex, not the whole group.

--- /dev/null
+++ b/cmd/indigodrift/main_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary be the program: a day starts its controllers from it.
+func TestMain(m *testing.M) {
+	if os.Getenv("INDIGODRIFT_BE_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "INDIGODRIFT_BE_PROGRAM=1")
+	return c
+}
+
+const bearers = `
+bearer "ride-status" {
+  revenue    = 1
+  gos_target = "1.2s"
+  abandon    = "9s"
+  holding    = "2s"
+}
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+type verdict struct{ Offered, Stood, Refused, Failed, Broken int }
+
+func lastLine(t *testing.T, out []byte) (v verdict) {
+	t.Helper()
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &v); err != nil {
+		t.Fatalf("%v in %q", err, lines[len(lines)-1])
+	}
+	return v
+}
+
+// Exchanges as processes on loopback, one killed and started again, one stopped for a second, links reset.
+func TestDayOnLoopbackWithProcessesKilled(t *testing.T) {
+	file := write(t, "day.hcl", `
+length           = "6s"
+settle           = "2s"
+exchanges        = 3
+calls_per_second = 30
+load             = 0.7
+`+bearers+`
+trouble "controllers_kill" {
+  start = "1s"
+  part  = 0.3
+  size  = 1
+}
+
+trouble "controllers_stall" {
+  start  = "2s"
+  length = "2s"
+  part   = 0.3
+  size   = 1
+}
+
+trouble "links_reset" {
+  start = "4s"
+  part  = 1
+  size  = 1
+}
+`)
+	out, err := program("day", "run", file, "--json").Output()
+	if v := lastLine(t, out); err != nil || v.Broken > 0 || v.Offered < 60 || v.Stood < v.Offered/4 {
+		t.Fatalf("%v: %+v", err, v)
+	}
+}
+
+func TestPlantedBreakEndsWithCodeOneAndAuditAgrees(t *testing.T) {
+	file := write(t, "day.hcl", "length = \"3s\"\nsettle = \"1s\"\nexchanges = 2\ncalls_per_second = 40\nload = 3\n"+bearers)
+	dir := t.TempDir()
+	out, err := program("day", "run", file, "--json", "--plant", "answer", "--keep", dir).Output()
+	if v := lastLine(t, out); err == nil || v.Broken == 0 {
+		t.Fatalf("%v: %+v", err, v)
+	}
+	again, err := program("audit", filepath.Join(dir, "audit.log")).Output()
+	if err == nil || !strings.Contains(string(again), "is answered twice") {
+		t.Fatalf("%v: %s", err, again)
+	}
+}
+
+func TestInterruptedDayLeavesNothingRunning(t *testing.T) {
+	dir := t.TempDir()
+	file := write(t, "day.hcl", "length = \"60s\"\nsettle = \"1s\"\nexchanges = 3\ncalls_per_second = 10\n"+bearers)
+	c := program("day", "run", file, "--json", "--keep", dir)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 { // until every controller has written its first line
+		time.Sleep(50 * time.Millisecond)
+		if up, _ := filepath.Glob(filepath.Join(dir, "controller-*.log")); len(up) == 3 {
+			break
+		}
+	}
+	c.Process.Signal(os.Interrupt)
+	c.Wait()
+	found, err := exec.Command("pgrep", "-f", dir).Output()
+	if err == nil && len(found) > 0 {
+		t.Fatalf("still running: %s", found)
+	}
+}
+
+func TestFaultsInSettingsNameThePlace(t *testing.T) {
+	good := "exchanges = 2\nexchange = 0\nown_switch = \"127.0.0.1:1\"\nregister = \"127.0.0.1:2\"\n" +
+		"bearer \"a\" {\n  revenue    = 1\n  gos_target = \"1s\"\n  abandon    = \"9s\"\n}\n"
+	for _, c := range []struct{ text, want string }{
+		{good, ""},
+		{good + "tyres = 4\n", "site.hcl:10,1: tyres is not known here"},
+		{good + "tries = 99\n", "site.hcl:10,9: tries is 99, it can be 1 to 16"},
+		{good + "release_time = \"soon\"\n", `site.hcl:10,16: release_time is "soon", not a span`},
+		{good + "neighbour \"n\" {\n  exchange = 7\n  circuits = 3\n  address = \"127.0.0.1:3\"\n}\n", `site.hcl:11,14: the group "n" has no far end`},
+		{good + "neighbour \"n\" {\n  exchange = 1\n  circuits = 3\n}\n", "site.hcl:10,1: address is missing"},
+		{good + "neighbour \"n\" {\n  exchange = 1\n  circuits = 0\n  address = \"x\"\n}\n", `it can be 1 to`},
+		{"exchanges = 2 +\n", "site.hcl:"},
+		{strings.Replace(good, "127.0.0.1:1", "nowhere", 1), "not an address with a port"},
+	} {
+		out, err := program("check", write(t, "site.hcl", c.text)).CombinedOutput()
+		if (err == nil) != (c.want == "") || !strings.Contains(string(out), c.want) {
+			t.Errorf("%q: %v, %s", c.text[max(0, len(c.text)-40):], err, out)
+		}
+		if c.want != "" && err.(*exec.ExitError).ExitCode() != 2 {
+			t.Errorf("%q: %v", c.want, err)
+		}
+	}
+}
+
+func TestHangUpSignalWithABadFileChangesNothing(t *testing.T) {
+	text := "exchanges = 2\nexchange = 0\nown_switch = \"127.0.0.1:1\"\nregister = \"127.0.0.1:2\"\n" +
+		"bearer \"a\" {\n  revenue    = 1\n  gos_target = \"1s\"\n  abandon    = \"9s\"\n}\n"
+	file := write(t, "site.hcl", text)
+	c := program("serve", "-f", file, "--log", "json")
+	pipe, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := os.WriteFile(file, []byte("exchange = "), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	c.Process.Signal(syscall.SIGHUP)
+	time.Sleep(300 * time.Millisecond)
+	c.Process.Signal(syscall.SIGTERM)
+	buf := make([]byte, 1<<16)
+	log := ""
+	for {
+		n, err := pipe.Read(buf)
+		if log += string(buf[:n]); err != nil {
+			break
+		}
+	}
+	if err := c.Wait(); err != nil || !strings.Contains(log, "settings are not taken, nothing changes") || !strings.Contains(log, "site.hcl:1") {
+		t.Fatalf("%v: %s", err, log)
+	}
+}
--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -82,6 +82,12 @@
 // code is the circuit identification code of the circuit at an index: slot 0 of each multiplex is not used.
 func code(i int) uint16 { return uint16(i/isup.PerMultiplex*32 + i%isup.PerMultiplex + 1) }
 
+// multiplex is the range of indices in which a call that holds circuit i has all of its circuits.
+func (g *Group) multiplex(i int) (from, to int) {
+	from = i - i%isup.PerMultiplex
+	return from, min(from+isup.PerMultiplex, len(g.circuits))
+}
+
 func (g *Group) index(cic uint16) (int, bool) {
 	i := int(cic)/32*isup.PerMultiplex + int(cic)%32 - 1
 	return i, cic%32 != 0 && i < len(g.circuits)
@@ -223,7 +229,8 @@
 		if g.circuits[i].state == Seized {
 			lost := g.circuits[i].call
 			yielded = append(yielded, lost)
-			for j := range g.circuits {
+			from, to := g.multiplex(i)
+			for j := from; j < to; j++ {
 				if g.circuits[j].state == Seized && g.circuits[j].call == lost {
 					g.set(now, j, Idle, None, j)
 				}
@@ -244,7 +251,8 @@
 // circuit both ask for. Both ends see the same two set-ups and so agree.
 func (g *Group) keeps(i int, theirs []int) bool {
 	var ours []int
-	for j := range g.circuits {
+	from, to := g.multiplex(i)
+	for j := from; j < to; j++ {
 		if g.circuits[j].state == Seized && g.circuits[j].call == g.circuits[i].call {
 			ours = append(ours, j)
 		}
@@ -293,9 +301,10 @@
 // latter case: we do not seize the circuit for a moment.
 func (g *Group) Cleared(now policy.Tenths, cic uint16, settling bool) {
 	if i, ok := g.index(cic); ok && settling && g.circuits[i].state != Idle {
-		for j, c := range g.circuits {
-			if c.lead == g.circuits[i].lead && c.call == g.circuits[i].call {
-				g.circuits[j].settled = now + settle
+		from, to := g.multiplex(i)
+		for j := from; j < to; j++ {
+			if c := &g.circuits[j]; c.lead == g.circuits[i].lead && c.call == g.circuits[i].call {
+				c.settled = now + settle
 			}
 		}
 	}
@@ -309,7 +318,8 @@
 		return
 	}
 	of := g.circuits[i]
-	for j := range g.circuits {
+	first, end := g.multiplex(i)
+	for j := first; j < end; j++ {
 		if c := &g.circuits[j]; j != i && (c.call != of.call || c.call == None || c.lead != of.lead || c.state != of.state) {
 			continue
 		}
--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,261 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"indigodrift/internal/audit"
+	"indigodrift/internal/exchange"
+	"indigodrift/internal/isup"
+	"indigodrift/internal/m3ua"
+	"indigodrift/internal/standin"
+	"indigodrift/policy"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// asker dials calls on a switch's line side and waits for each answer.
+type asker struct {
+	conn    net.Conn
+	buf     []byte
+	scratch []byte
+	n       uint32
+}
+
+func newAsker(b *testing.B, address string, block uint32) *asker {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	hello, _ := m3ua.Append(nil, m3ua.Frame{Kind: m3ua.Up, ASP: exchange.Lines + block})
+	c.Write(hello)
+	a := &asker{conn: c}
+	a.read(b)
+	return a
+}
+
+func (a *asker) read(b *testing.B) m3ua.Frame {
+	f, s, err := m3ua.Read(a.conn, a.scratch)
+	if err != nil {
+		b.Fatal(err)
+	}
+	a.scratch = s
+	return f
+}
+
+func (a *asker) send(b *testing.B, m isup.Message) {
+	user, err := isup.Append(nil, m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	a.buf, _ = m3ua.Append(a.buf[:0], m3ua.Frame{Kind: m3ua.Data, From: exchange.Lines, To: 1, User: user})
+	if _, err := a.conn.Write(a.buf); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// call sets one call up and releases it; it returns how long the answer took.
+func (a *asker) call(b *testing.B, dest int) (took time.Duration, stood bool) {
+	a.n++
+	cic := uint16(a.n & isup.CICMost)
+	from := time.Now()
+	a.send(b, isup.Message{CIC: cic, Type: isup.IAM, Width: 1, Digits: exchange.Called(dest, a.n), Ref: isup.Reference{Point: 1, Identity: a.n & 0xffffff},
+		Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: 50000, Stamp: uint32(time.Now().UnixMicro() / 100)}})
+	for {
+		m, err := isup.Decode(a.read(b).User)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if m.CIC == cic && (m.Type == isup.ANM || m.Type == isup.REL) {
+			took, stood = time.Since(from), m.Type == isup.ANM
+			break
+		}
+	}
+	if stood {
+		a.send(b, isup.Message{CIC: cic, Type: isup.REL, Cause: isup.NormalClearing})
+	}
+	return took, stood
+}
+
+// echo is the least that can answer: it reads a set-up and writes an answer, with the same codec and nothing between.
+func echo(b *testing.B) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		var scratch, out, user []byte
+		for {
+			f, s, err := m3ua.Read(c, scratch)
+			if err != nil {
+				return
+			}
+			scratch = s
+			reply := m3ua.Frame{Kind: m3ua.UpAck, ASP: 1}
+			if f.Kind == m3ua.Data {
+				m, _ := isup.Decode(f.User)
+				t := isup.ANM
+				if m.Type == isup.REL {
+					t = isup.RLC
+				}
+				user, _ = isup.Append(user[:0], isup.Message{CIC: m.CIC, Type: t})
+				reply = m3ua.Frame{Kind: m3ua.Data, From: 1, To: exchange.Lines, User: user}
+			}
+			out, _ = m3ua.Append(out[:0], reply)
+			c.Write(out)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// network starts exchanges on loopback whose processors take no time, and returns the address of the first one's switch.
+func network(b *testing.B, n int) string {
+	quick := standin.Work{SetUp: time.Nanosecond, Finish: time.Nanosecond, RefuseAfter: time.Hour, ReportEvery: time.Second, Reuse: true,
+		ColdFrom: 1, Ramp: 1, FallMultiple: 1e9, FallWindow: time.Second}
+	log := audit.NewLog(discard{})
+	var switches []*standin.Switch
+	var at []string
+	sizes := make([][]int, n)
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		s := standin.NewSwitch(i, quick, 1, log)
+		if err := s.Start(func() (net.Listener, error) { return ln, nil }); err != nil {
+			b.Fatal(err)
+		}
+		switches, at = append(switches, s), append(at, ln.Addr().String())
+		for range n {
+			sizes[i] = append(sizes[i], 100)
+		}
+		b.Cleanup(s.Stop)
+	}
+	rl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	reg := standin.NewRegister(switches, sizes, 0, 100*time.Millisecond, log)
+	reg.Start(rl)
+	b.Cleanup(reg.Stop)
+	var d net.Dialer
+	for i := range n {
+		s := Site{Deployment: policy.Deployment{Own: i, Seed: uint64(i), MaxTries: 4, ReleaseTime: 3000, ColdFrom: 1, FallMultiple: 3, FallWindow: 15000, RampTime: 1,
+			Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}}, Exchanges: n, OwnSwitch: at[i], Register: rl.Addr().String(),
+			Inbox: 16384, LinkMost: 1 << 24}
+		for j := range n {
+			if j != i {
+				s.Neighbours = append(s.Neighbours, Neighbour{exchange.Neighbour{Number: j, Circuits: 100}, at[j]})
+			}
+		}
+		st := New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+			return policy.New(d, x, now)
+		},
+			func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) }, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- st.Run(ctx) }()
+		b.Cleanup(func() { cancel(); <-ended })
+	}
+	time.Sleep(3 * time.Second)
+	return at[0]
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkAnswer times a call over two switches and two controllers beside one answered by a bare peer, in turns.
+func BenchmarkAnswer(b *testing.B) {
+	whole, bare := newAsker(b, network(b, 2), 0), newAsker(b, echo(b), 0)
+	defer whole.conn.Close()
+	defer bare.conn.Close()
+	through, least := hdrhistogram.New(1, 1e9, 3), hdrhistogram.New(1, 1e9, 3)
+	stood := 0
+	for b.Loop() {
+		if took, ok := whole.call(b, 1); ok {
+			stood++
+			through.RecordValue(took.Nanoseconds())
+		}
+		took, _ := bare.call(b, 1)
+		least.RecordValue(took.Nanoseconds())
+	}
+	if stood == 0 {
+		b.Fatal("no call stood")
+	}
+	for _, q := range []struct {
+		name string
+		at   float64
+	}{{"median", 50}, {"99th", 99}} {
+		t, l := float64(through.ValueAtQuantile(q.at)), float64(least.ValueAtQuantile(q.at))
+		b.ReportMetric(t/1e3, q.name+"-µs")
+		b.ReportMetric(t/l, q.name+"-over-bare")
+	}
+	b.ReportMetric(float64(stood)/float64(b.N), "stood")
+}
+
+// BenchmarkQueue times how long ten thousand calls offered at one instant take until the last has its answer.
+func BenchmarkQueue(b *testing.B) {
+	const calls = 10000
+	at := network(b, 2)
+	b.ResetTimer()
+	for n := range b.N {
+		b.StopTimer()
+		answered := make(chan int)
+		var all []*asker
+		for block := uint32(n%50) * 4; block < uint32(n%50)*4+4; block++ {
+			a := newAsker(b, at, block)
+			all = append(all, a)
+			var stream []byte
+			for i := range uint32(calls / 4) {
+				user, _ := isup.Append(nil, isup.Message{CIC: uint16(i), Type: isup.IAM, Width: 1, Digits: exchange.Called(1, i),
+					Ref: isup.Reference{Point: 1, Identity: block<<16 + i + 1}, Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: 50000}})
+				stream, _ = m3ua.Append(stream, m3ua.Frame{Kind: m3ua.Data, From: exchange.Lines + block, To: 1, User: user})
+			}
+			go a.conn.Write(stream)
+			go func() {
+				n := 0
+				for n < calls/4 {
+					f, s, err := m3ua.Read(a.conn, a.scratch)
+					if err != nil {
+						break
+					}
+					a.scratch = s
+					if m, err := isup.Decode(f.User); err == nil && (m.Type == isup.ANM || m.Type == isup.REL) {
+						n++
+					}
+				}
+				answered <- n
+			}()
+		}
+		b.StartTimer()
+		total := 0
+		for range 4 {
+			total += <-answered
+		}
+		b.StopTimer()
+		if total != calls {
+			b.Fatalf("%d of %d calls were answered", total, calls)
+		}
+		for k, a := range all { // those that stand end
+			for i := range uint16(calls / 4) {
+				user, _ := isup.Append(nil, isup.Message{CIC: i, Type: isup.REL, Cause: isup.NormalClearing})
+				frame, _ := m3ua.Append(nil, m3ua.Frame{Kind: m3ua.Data, From: exchange.Lines + uint32(n%50*4+k), To: 1, User: user})
+				a.conn.Write(frame)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, a := range all {
+			a.conn.Close()
+		}
+		b.StartTimer()
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigodrift/internal/exchange"
+	"indigodrift/internal/isup"
+	"indigodrift/internal/m3ua"
+	"indigodrift/internal/memnet"
+	"indigodrift/policy"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is one station with its own switch played by the test, octet by octet.
+type bench struct {
+	t       *testing.T
+	station *Station
+	own     net.Conn
+	log     strings.Builder
+	mu      sync.Mutex
+	got     []isup.Message
+	drain   context.CancelFunc
+	ended   chan error
+}
+
+func (b *bench) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+func start(t *testing.T, inbox int) *bench {
+	m := memnet.New()
+	ln, err := m.Listen("own")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, ended: make(chan error, 1)}
+	s := Site{Deployment: policy.Deployment{Own: 0, Seed: 1, MaxTries: 4, ReleaseTime: 3000,
+		Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}}, Exchanges: 3, OwnSwitch: "own", Register: "none",
+		Neighbours: []Neighbour{{exchange.Neighbour{Number: 1, Circuits: 4}, "away"}}, Inbox: inbox, LinkMost: 1 << 16}
+	b.station = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+		return policy.New(d, x, now)
+	},
+		func(_ context.Context, address string) (net.Conn, error) { return m.Dial(address) }, slog.New(slog.NewTextHandler(b, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	b.drain = cancel
+	go func() { b.ended <- b.station.Run(ctx) }()
+	b.accept(ln)
+	t.Cleanup(func() { ln.Close() })
+	return b
+}
+
+func (b *bench) accept(ln net.Listener) {
+	c, err := ln.Accept()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	f, _, err := m3ua.Read(c, nil)
+	if err != nil || f.Kind != m3ua.Up || f.ASP != 1 {
+		b.t.Fatal(f, err)
+	}
+	b.own = c
+	b.frame(m3ua.Frame{Kind: m3ua.UpAck, ASP: 1, Info: "life=1"})
+	go func() {
+		var scratch []byte
+		for {
+			f, s, err := m3ua.Read(c, scratch)
+			if err != nil {
+				return
+			}
+			if scratch = s; f.Kind == m3ua.Data {
+				if m, err := isup.Decode(f.User); err == nil {
+					b.mu.Lock()
+					b.got = append(b.got, m)
+					b.mu.Unlock()
+				}
+			}
+		}
+	}()
+}
+
+func (b *bench) frame(f m3ua.Frame) {
+	buf, err := m3ua.Append(nil, f)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.own.Write(buf)
+}
+
+func (b *bench) dial(cic uint16, dest int, left policy.Tenths, stamp uint32) {
+	buf, err := isup.Append(nil, isup.Message{CIC: cic, Type: isup.IAM, Width: 1, Digits: exchange.Called(dest, 1),
+		Ref: isup.Reference{Point: 1, Identity: uint32(cic) + 1}, Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: uint32(left), Stamp: stamp}})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.frame(m3ua.Frame{Kind: m3ua.Data, From: exchange.Lines, To: 1, User: buf})
+}
+
+// released counts the releases that came for a circuit.
+func (b *bench) released(cic uint16) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.got {
+		if m.CIC == cic && m.Type == isup.REL {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bench) end() error {
+	b.drain()
+	err := <-b.ended
+	b.own.Close()
+	return err
+}
+
+func TestFullInboxAnswersAtOnceAndDropsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 16)
+		stop := make(chan struct{})
+		go b.station.Do(func() { <-stop }) // the owner of the module is held up
+		time.Sleep(time.Millisecond)
+		for cic := range uint16(200) {
+			b.dial(cic, 1, 30000, 0)
+		}
+		time.Sleep(time.Millisecond)
+		at := 0
+		for cic := range uint16(200) {
+			at += b.released(cic)
+		}
+		if at < 180 {
+			t.Fatalf("%d of 200 calls were answered at once with the inbox full", at)
+		}
+		close(stop)
+		time.Sleep(time.Second)
+		for cic := range uint16(200) {
+			if n := b.released(cic); n != 1 {
+				t.Fatalf("call %d got %d answers", cic, n)
+			}
+		}
+		if err := b.end(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestMalformedMessageCostsItsOwnLinkAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 64)
+		b.frame(m3ua.Frame{Kind: m3ua.Data, From: exchange.Lines, To: 1, User: []byte{1, 0, 0x7f}})
+		time.Sleep(10 * time.Millisecond)
+		b.mu.Lock()
+		told := b.log.String()
+		b.mu.Unlock()
+		if !strings.Contains(told, "malformed ISUP message: type 7f is not known") {
+			t.Fatalf("log: %s", told)
+		}
+		if !b.station.Do(func() {}) {
+			t.Fatal("the station ended")
+		}
+		b.end()
+	})
+}
+
+func TestDrainAnswersWhatWasTakenAndRefusesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 64)
+		b.dial(1, 0, 30000, 0) // to a line here: it rings
+		time.Sleep(time.Millisecond)
+		b.drain()
+		time.Sleep(time.Millisecond)
+		if err := <-b.ended; err != nil {
+			t.Fatal(err)
+		}
+		b.own.Close()
+	})
+}
+
+func TestCallReadTooLateIsNotTouched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 64)
+		b.dial(1, 2, 30000, 100000) // sets what the way takes; there is no route, so it is refused
+		time.Sleep(time.Millisecond)
+		b.dial(2, 2, 5000, 90000) // stamped one second earlier: its caller left half a second ago
+		b.dial(3, 2, 5000, 100000)
+		time.Sleep(time.Millisecond)
+		if b.released(1) != 1 || b.released(2) != 0 || b.released(3) != 1 {
+			t.Fatalf("answers %d, %d, %d", b.released(1), b.released(2), b.released(3))
+		}
+		b.end()
+	})
+}
+
+// The switch comes back in a new life, whose clock starts again: calls are taken as before. Once they were not, as each
+// seemed to have waited for as long as the old life had lasted.
+func TestNewLifeOfTheOwnSwitchHasANewClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := memnet.New()
+		ln, _ := m.Listen("own")
+		b := &bench{t: t, ended: make(chan error, 1)}
+		s := Site{Deployment: policy.Deployment{Own: 0, MaxTries: 4, Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}},
+			Exchanges: 3, OwnSwitch: "own", Register: "none", Inbox: 64, LinkMost: 1 << 16}
+		b.station = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+			return policy.New(d, x, now)
+		},
+			func(_ context.Context, address string) (net.Conn, error) { return m.Dial(address) }, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		b.drain = cancel
+		go func() { b.ended <- b.station.Run(ctx) }()
+		b.accept(ln)
+		time.Sleep(time.Second)
+		b.dial(1, 2, 30000, 1000000)
+		time.Sleep(time.Millisecond)
+		b.own.Close()
+		b.accept(ln)
+		b.dial(2, 2, 30000, 10)
+		time.Sleep(time.Millisecond)
+		if b.released(1) != 1 || b.released(2) != 1 {
+			t.Fatalf("answers %d, %d", b.released(1), b.released(2))
+		}
+		b.end()
+		ln.Close()
+	})
+}
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,192 +15,33 @@
 	"indigodrift/internal/baseline"
 	"indigodrift/internal/control"
 	"indigodrift/internal/exchange"
+	"indigodrift/internal/memnet"
 	"indigodrift/internal/site"
 	"indigodrift/policy"
 
 	"go.uber.org/goleak"
 )
 
-// memory is a network without sockets, for virtual time.
-type memory struct {
-	mu     sync.Mutex
-	doors  map[string]*door
-	number int
-}
-
-type door struct {
-	m    *memory
-	name string
-	in   chan net.Conn
-	shut chan struct{}
-	once sync.Once
-}
-
-type address string
-
-func (a address) Network() string { return "memory" }
-func (a address) String() string  { return string(a) }
-
-func (d *door) Accept() (net.Conn, error) {
-	select {
-	case c := <-d.in:
-		return c, nil
-	case <-d.shut:
-		return nil, net.ErrClosed
-	}
-}
-func (d *door) Addr() net.Addr { return address(d.name) }
-func (d *door) Close() error {
-	d.once.Do(func() {
-		d.m.mu.Lock()
-		delete(d.m.doors, d.name)
-		d.m.mu.Unlock()
-		close(d.shut)
-	})
-	return nil
-}
-
-func (m *memory) listen(name string) (net.Listener, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if name == "" {
-		m.number++
-		name = fmt.Sprintf("127.0.0.1:%d", m.number)
-	}
-	if m.doors[name] != nil {
-		return nil, errors.New("address in use")
-	}
-	m.doors[name] = &door{m: m, name: name, in: make(chan net.Conn), shut: make(chan struct{})}
-	return m.doors[name], nil
-}
-
-func (m *memory) dial(name string) (net.Conn, error) {
-	m.mu.Lock()
-	d := m.doors[name]
-	m.mu.Unlock()
-	if d == nil {
-		return nil, errors.New("connection refused")
-	}
-	here, there := buffered()
-	select {
-	case d.in <- there:
-		return here, nil
-	case <-d.shut:
-		return nil, errors.New("connection refused")
-	}
-}
-
-// buffered is a connection in memory whose writes do not wait for a reader, as a socket's do not.
-func buffered() (net.Conn, net.Conn) {
-	a, b := newPipe(), newPipe()
-	return &end{in: a, out: b}, &end{in: b, out: a}
-}
-
-type pipe struct {
-	mu     sync.Mutex
-	buf    []byte
-	closed bool
-	news   chan struct{}
-}
-
-func newPipe() *pipe { return &pipe{news: make(chan struct{}, 1)} }
-
-func (p *pipe) tell() {
-	select {
-	case p.news <- struct{}{}:
-	default:
-	}
-}
-
-type end struct {
-	in, out *pipe
-	gate    *gate
-}
-
-func (e *end) Read(b []byte) (int, error) {
-	for {
-		if e.gate != nil {
-			e.gate.pass()
-		}
-		e.in.mu.Lock()
-		n := copy(b, e.in.buf)
-		e.in.buf = e.in.buf[n:]
-		closed := e.in.closed
-		if closed {
-			e.in.tell()
-		}
-		e.in.mu.Unlock()
-		if n > 0 {
-			return n, nil
-		}
-		if closed {
-			return 0, io.EOF
-		}
-		<-e.in.news
-	}
-}
-
-func (e *end) Write(b []byte) (int, error) {
-	if e.gate != nil {
-		e.gate.pass()
-	}
-	e.out.mu.Lock()
-	defer e.out.mu.Unlock()
-	if e.out.closed {
-		return 0, io.ErrClosedPipe
-	}
-	e.out.buf = append(e.out.buf, b...)
-	e.out.tell()
-	return len(b), nil
-}
-
-func (e *end) Close() error {
-	for _, p := range []*pipe{e.in, e.out} {
-		p.mu.Lock()
-		p.closed = true
-		p.tell()
-		p.mu.Unlock()
-	}
-	return nil
-}
-func (e *end) LocalAddr() net.Addr              { return address("here") }
-func (e *end) RemoteAddr() net.Addr             { return address("there") }
-func (e *end) SetDeadline(time.Time) error      { return nil }
-func (e *end) SetReadDeadline(time.Time) error  { return nil }
-func (e *end) SetWriteDeadline(time.Time) error { return nil }
-
-// gate stops everything that a controller does while it is shut, as SIGSTOP does.
-type gate struct {
-	mu   sync.Mutex
-	shut chan struct{} // nil while open
-}
-
-func (g *gate) pass() {
-	g.mu.Lock()
-	shut := g.shut
-	g.mu.Unlock()
-	if shut != nil {
-		<-shut
-	}
-}
+// virtualNet starts controllers in this process, on a network in memory.
+type virtualNet struct{ *memnet.Net }
 
 // inside is a controller in this process.
 type inside struct {
 	station     *control.Station
 	ready, done chan struct{}
 	drain       context.CancelFunc
-	gate        *gate
+	gate        *memnet.Gate
 	mu          sync.Mutex
 	conns       []net.Conn
 	killed      bool
 }
 
-func (m *memory) launch(e int, siteFile, routing, plant string) (Program, error) {
+func (v *virtualNet) launch(e int, siteFile, routing, plant string) (Program, error) {
 	s, err := site.Read(siteFile)
 	if err != nil {
 		return nil, err
 	}
-	p := &inside{ready: make(chan struct{}), done: make(chan struct{}), gate: &gate{}}
+	p := &inside{ready: make(chan struct{}), done: make(chan struct{}), gate: &memnet.Gate{}}
 	build := control.Build(func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 		return policy.New(d, x, now)
 	})
@@ -220,14 +60,14 @@
 		build = wrong.Deciding(build)
 	}
 	p.station = control.New(s, build, func(_ context.Context, name string) (net.Conn, error) {
-		p.gate.pass()
-		c, err := m.dial(name)
+		p.gate.Pass()
+		c, err := v.Dial(name)
 		if err != nil {
 			return nil, err
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		c.(*end).gate = p.gate
+		c.(*memnet.Conn).Gate = p.gate
 		if p.conns = append(p.conns, c); p.killed {
 			c.Close()
 		}
@@ -261,22 +101,11 @@
 	p.drain()
 }
 func (p *inside) Stop() {
-	p.gate.mu.Lock()
-	defer p.gate.mu.Unlock()
-	if p.gate.shut == nil {
-		shut := make(chan struct{})
-		p.gate.shut = shut
-		go p.station.Do(func() { <-shut })
-	}
-}
-func (p *inside) GoOn() {
-	p.gate.mu.Lock()
-	defer p.gate.mu.Unlock()
-	if p.gate.shut != nil {
-		close(p.gate.shut)
-		p.gate.shut = nil
+	if p.gate.Shut() {
+		go p.station.Do(p.gate.Pass)
 	}
 }
+func (p *inside) GoOn() { p.gate.Open() }
 
 // virtual plays a day in virtual time.
 func virtual(t *testing.T, name string, change func(*Script)) Report {
@@ -293,8 +122,8 @@
 	var rep Report
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		m := &memory{doors: map[string]*door{}}
-		rep, err = Run(context.Background(), s, Options{Launch: m.launch, Listen: m.listen, Dial: m.dial, Plant: plant, Keep: dir, Progress: io.Discard})
+		v := &virtualNet{memnet.New()}
+		rep, err = Run(context.Background(), s, Options{Launch: v.launch, Listen: v.Listen, Dial: v.Dial, Plant: plant, Keep: dir, Progress: io.Discard})
 		if err != nil {
 			t.Error(err)
 		}
--- /dev/null
+++ b/internal/exchange/bench_test.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"runtime"
+	"testing"
+
+	"indigodrift/internal/isup"
+	"indigodrift/policy"
+)
+
+// mute takes what an exchange sends and keeps the last of it.
+type mute struct {
+	to Hop
+	m  isup.Message
+}
+
+func (c *mute) Transmit(to Hop, m isup.Message) {
+	if to.Side == Ahead {
+		c.to, c.m = to, m
+	}
+}
+func (c *mute) Follow()         {}
+func (c *mute) Note(string)     {}
+func (c *mute) Answered(Answer) {}
+
+func lone(circuits int) (*Exchange, *mute, policy.Tenths) {
+	out, now := &mute{}, policy.Tenths(1<<32)
+	x := New(policy.Deployment{Own: 0, MaxTries: 4, ReleaseTime: 3000, ColdFrom: 1, FallMultiple: 3, FallWindow: 15000, RampTime: 1,
+		Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}}, []Neighbour{{1, circuits}}, out, now,
+		func(d policy.Deployment, e policy.Exchange, now policy.Tenths) Decider { return policy.New(d, e, now) })
+	x.OwnUp(now, "1")
+	x.LinkUp(now, 0, "1")
+	for first := 0; first < circuits; first += isup.PerMultiplex {
+		x.Receive(now, Hop{Side: Ahead}, isup.Message{Type: isup.GRA, CIC: uint16(first/isup.PerMultiplex*32 + 1), Range: isup.PerMultiplex - 1}, 0)
+	}
+	x.Listed(now, true, []policy.Switch{{ID: 5, Number: 1, Ready: true}})
+	return x, out, now
+}
+
+func (x *Exchange) dial(now policy.Tenths, i uint32) {
+	x.Receive(now, Hop{Side: Line, Point: Lines + uint16(i>>12&0xff)}, isup.Message{CIC: uint16(i & isup.CICMost), Type: isup.IAM, Width: 1,
+		Digits: "001000001", Ref: isup.Reference{Point: 1, Identity: i & 0xffffff}, Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: 30000}}, 0)
+}
+
+// BenchmarkDecide is all that the owning goroutine does for one call that stands and ends: module, circuits, states.
+func BenchmarkDecide(b *testing.B) {
+	x, out, now := lone(3000)
+	b.ReportAllocs()
+	for i := uint32(1); b.Loop(); i++ {
+		now += 200
+		x.dial(now, i)
+		if out.m.Type != isup.IAM {
+			b.Fatal("not sent")
+		}
+		cic := out.m.CIC
+		x.Receive(now+50, Hop{Side: Ahead}, isup.Message{CIC: cic, Type: isup.ANM, Says: isup.Says{Has: isup.PartLoad}}, 0)
+		x.Receive(now+100, Hop{Side: Line, Point: Lines + uint16(i>>12&0xff)}, isup.Message{CIC: uint16(i & isup.CICMost), Type: isup.REL}, 0)
+		x.Receive(now+150, Hop{Side: Ahead}, isup.Message{CIC: cic, Type: isup.RLC}, 0)
+		for x.Next() <= now+150 {
+			x.Tick(now + 150)
+		}
+	}
+}
+
+// BenchmarkStanding is the memory that one standing call holds.
+func BenchmarkStanding(b *testing.B) {
+	const calls = 3900
+	for range b.N {
+		x, out, now := lone(3968)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range uint32(calls) {
+			now += 200
+			x.dial(now, i+1)
+			x.Receive(now+50, Hop{Side: Ahead}, isup.Message{CIC: out.m.CIC, Type: isup.ANM}, 0)
+		}
+		now += 40000 // what guarded the set-ups has fallen due
+		x.Tick(now)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if x.Standing() != calls {
+			b.Fatalf("%d of %d calls stand", x.Standing(), calls)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/calls, "B/standing-call")
+		runtime.KeepAlive(x)
+	}
+}
