Number analysis, the deciding part: trie, routes by time, shares, portability look-ups, versions

Pure package internal/numbers. Its trie agrees with a plain search over random tables, local time with the library's calendar minute by minute over two years of three zones, shares hold to within one call, versions are freed only when no call goes by them, look-ups tell a slow server from a dead one and stay within their bounds under 200,000 unknown numbers.

--- /dev/null
+++ b/internal/numbers/inquire_test.go
@@ -0,0 +1,193 @@
+package numbers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"indigodrift/policy"
+)
+
+// office is two portability servers on paper and the calls that ask.
+type office struct {
+	q       *Inquirer
+	now     policy.Tenths
+	delay   [2]policy.Tenths // negative: silent
+	on      []flown
+	told    map[uint32]bool
+	known   map[uint32]bool
+	queries []policy.Tenths
+	asked   map[string]int
+	until   map[uint32]policy.Tenths
+	broken  []string
+}
+
+type flown struct {
+	at     policy.Tenths
+	id     uint32
+	number string
+}
+
+func newOffice(l Limits) *office {
+	o := &office{now: 1000000, told: map[uint32]bool{}, known: map[uint32]bool{}, asked: map[string]int{}, until: map[uint32]policy.Tenths{}}
+	var err error
+	if o.q, err = NewInquirer(l, 3, o); err != nil {
+		panic(err)
+	}
+	return o
+}
+
+func (o *office) Query(id uint32, server int, number string) {
+	o.queries = append(o.queries, o.now)
+	o.asked[number]++
+	if d := o.delay[server]; d >= 0 {
+		o.on = append(o.on, flown{o.now + d, id, number})
+	}
+}
+
+func (o *office) Told(call uint32, p Port, known bool) {
+	if o.told[call] {
+		o.broken = append(o.broken, fmt.Sprintf("call %d is told twice", call))
+	}
+	if o.now > o.until[call]+100 {
+		o.broken = append(o.broken, fmt.Sprintf("call %d waits %d past its time", call, o.now-o.until[call]))
+	}
+	o.told[call], o.known[call] = true, known
+}
+
+func (o *office) ask(call uint32, number string, patience policy.Tenths) Verdict {
+	o.until[call] = o.now + patience
+	_, v := o.q.Ask(o.now, call, number, o.now+patience)
+	if v != Wait {
+		o.told[call], o.known[call] = true, v == Known
+	}
+	return v
+}
+
+func (o *office) pass(by policy.Tenths) {
+	for end := o.now + by; o.now < end; {
+		o.now = min(end, o.now+50)
+		for i := 0; i < len(o.on); {
+			if f := o.on[i]; f.at <= o.now {
+				o.on = slices.Delete(o.on, i, i+1)
+				o.q.Answered(o.now, f.id, Port{Ported: true, Number: "9" + f.number}, true, 0)
+			} else {
+				i++
+			}
+		}
+		if at, ok := o.q.Next(); ok && at <= o.now {
+			o.q.Tick(o.now)
+		}
+	}
+}
+
+func limits() Limits {
+	return Limits{Known: 100, Unknown: 50, Age: 600000, Out: 64, TimeOut: 10000, RetryShare: 0.1}
+}
+
+func TestOneQueryServesAllWhoAskForANumber(t *testing.T) {
+	o := newOffice(limits())
+	o.delay = [2]policy.Tenths{200, 200}
+	for call := range uint32(50) {
+		o.ask(call+1, "37129000001", 3000)
+	}
+	o.pass(1000)
+	if len(o.queries) != 1 || len(o.told) != 50 || o.ask(60, "37129000001", 3000) != Known || len(o.broken) > 0 {
+		t.Fatalf("%d queries, %d told, broken %v", len(o.queries), len(o.told), o.broken)
+	}
+}
+
+func TestSlowServerIsToldFromADeadOneAndRecoveryIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		delay       policy.Tenths
+		least, most int // queries in 20 s of trouble with 50 calls a second
+	}{{"slow", 8000, 50, 700}, {"dead", -1, 5, 60}} {
+		o := newOffice(limits())
+		o.delay = [2]policy.Tenths{100, 100}
+		call, waited := uint32(0), policy.Tenths(0)
+		offer := func(calls int) (known int) {
+			first := call
+			for range calls {
+				call++
+				o.ask(call, fmt.Sprintf("371290%05d", call), 3000)
+				o.pass(200)
+			}
+			for c := first + 1; c <= call; c++ {
+				if o.known[c] {
+					known++
+				}
+			}
+			return known
+		}
+		offer(200)
+		o.delay = [2]policy.Tenths{c.delay, c.delay}
+		before := len(o.queries)
+		offer(1000)
+		during := len(o.queries) - before
+		o.delay = [2]policy.Tenths{100, 100}
+		offer(800) // learns of the recovery
+		if known := offer(100); known < 90 || during < c.least || during > c.most || len(o.broken) > 0 {
+			t.Errorf("%s: %d queries during, %d of 100 known after, broken %v, waited %d", c.name, during, known, o.broken, waited)
+		}
+	}
+}
+
+func TestOtherServerTakesOver(t *testing.T) {
+	o := newOffice(limits())
+	o.delay = [2]policy.Tenths{-1, 100}
+	for call := range uint32(300) {
+		o.ask(call+1, fmt.Sprint("3712", call), 3000)
+		o.pass(200)
+	}
+	known := 0
+	for call := uint32(201); call <= 300; call++ {
+		if o.known[call] {
+			known++
+		}
+	}
+	if known < 90 {
+		t.Fatalf("%d of the last 100 calls were told with one of two servers dead", known)
+	}
+}
+
+// A storm of numbers that nobody knows: memory, queries out and repeats stay within their bounds, and the numbers asked for
+// all the time stay in memory.
+func TestStormOfUnknownNumbersIsBounded(t *testing.T) {
+	o := newOffice(limits())
+	o.delay = [2]policy.Tenths{100, 100}
+	for call := range uint32(80) {
+		o.ask(call+1, fmt.Sprint("good", call), 3000)
+		o.pass(200)
+	}
+	chance := rand.New(rand.NewPCG(1, 1))
+	o.delay = [2]policy.Tenths{-1, -1}
+	for n := range uint32(200000) {
+		o.ask(1000+n, fmt.Sprint("bad", chance.Uint32()), 3000)
+		if n%20 == 0 {
+			o.pass(50)
+		}
+		if o.q.Out() > limits().Out {
+			t.Fatalf("%d queries out", o.q.Out())
+		}
+	}
+	good := 0
+	for call := range uint32(80) {
+		if _, v := o.q.Ask(o.now, 500000+call, fmt.Sprint("good", call), o.now); v == Known {
+			good++
+		}
+	}
+	known, unknown := o.q.Remembered()
+	if good < 80 || known > 100 || unknown > 50 || len(o.broken) > 0 {
+		t.Fatalf("%d of 80 known numbers left, %d and %d remembered, broken %v", good, known, unknown, o.broken[:min(3, len(o.broken))])
+	}
+}
+
+func TestCallNeverWaitsPastThePointWhereItCanBeServed(t *testing.T) {
+	for _, c := range []struct{ now, gos, leaves, want policy.Tenths }{{0, 12000, 90000, 3000}, {0, 12000, 4000, 1000}, {20000, 12000, 90000, 20000}} {
+		if got := WaitUntil(c.now, c.gos, c.leaves); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/numbers/numbers_test.go
@@ -0,0 +1,326 @@
+package numbers
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"indigodrift/policy"
+
+	"pgregory.net/rapid"
+)
+
+// The trie against a plain search, over every number of up to four digits and random longer ones.
+func TestLongestPrefixAgainstPlainSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain := map[string]uint32{}
+		for range rapid.IntRange(0, 60).Draw(t, "count") {
+			plain[rapid.StringMatching(`[0-9BC]{0,6}`).Draw(t, "prefix")] = rapid.Uint32Max(9).Draw(t, "entry")
+		}
+		var all []Prefix
+		for d, e := range plain {
+			all = append(all, Prefix{d, e})
+		}
+		trie, err := NewTrie(all)
+		if err != nil || trie.Len() != len(plain) {
+			t.Fatal(err, trie.Len())
+		}
+		check := func(number string) {
+			entry, length, ok := trie.Find(number)
+			for n := len(number); n >= 0; n-- {
+				if e, is := plain[number[:n]]; is {
+					if !ok || length != n || entry != e {
+						t.Fatalf("%s: entry %d by %d digits, %v; want %d by %d", number, entry, length, ok, e, n)
+					}
+					return
+				}
+			}
+			if ok {
+				t.Fatalf("%s: entry %d, want none", number, entry)
+			}
+		}
+		for n := range 1000 {
+			check(fmt.Sprintf("%03d", n))
+			check(fmt.Sprint(n))
+		}
+		for range 50 {
+			check(rapid.StringMatching(`[0-9BC]{0,24}`).Draw(t, "number"))
+		}
+		walked := map[string]uint32{}
+		trie.Walk(func(d string, e uint32) bool { walked[d] = e; return true })
+		if len(walked) != len(plain) {
+			t.Fatalf("%d prefixes walked, %d put in", len(walked), len(plain))
+		}
+	})
+}
+
+func TestContradictingPrefixesAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		all  []Prefix
+		want string
+	}{
+		{[]Prefix{{"371", 1}, {"371", 2}}, "prefix 371 stands twice"}, {[]Prefix{{"37x", 1}}, `prefix "37x"`},
+		{[]Prefix{{strings.Repeat("1", 25), 1}}, "25 digits"},
+	} {
+		if _, err := NewTrie(c.all); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v: %v", c.all, err)
+		}
+	}
+}
+
+// Each minute of two years in a zone with clock changes against the library's calendar.
+func TestLocalTimeMinuteByMinute(t *testing.T) {
+	for _, name := range []string{"Europe/Riga", "America/Bogota", "Australia/Lord_Howe"} {
+		z, err := NewZone(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		loc, _ := time.LoadLocation(name)
+		at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		for end := at.AddDate(2, 0, 0); at.Before(end); at = at.Add(time.Minute) {
+			l, got := at.In(loc), z.Local(at.Unix())
+			y, m, d := l.Date()
+			if got.Minute != l.Hour()*60+l.Minute() || got.Day != Day(y, m, d) || got.Weekday() != int(l.Weekday()) {
+				t.Fatalf("%s at %v: %+v, weekday %d", name, l, got, got.Weekday())
+			}
+		}
+	}
+}
+
+func TestHoursThatComeTwiceOrNever(t *testing.T) {
+	z, _ := NewZone("Europe/Riga")
+	night := &When{From: 3 * 60, To: 4 * 60}
+	count := func(day time.Time) (minutes int) {
+		for i := range 26 * 60 {
+			if night.Holds(z, nil, day.Add(time.Duration(i)*time.Minute).Unix()) {
+				minutes++
+			}
+		}
+		return minutes
+	}
+	for _, c := range []struct {
+		utc  time.Time
+		want int
+	}{{time.Date(2026, 3, 28, 20, 0, 0, 0, time.UTC), 0}, {time.Date(2026, 10, 24, 20, 0, 0, 0, time.UTC), 120},
+		{time.Date(2026, 6, 1, 20, 0, 0, 0, time.UTC), 60}} {
+		if got := count(c.utc); got != c.want {
+			t.Errorf("%v: three to four o'clock holds for %d minutes, want %d", c.utc, got, c.want)
+		}
+	}
+}
+
+func TestSpansPastMidnightBelongToTheirFirstDay(t *testing.T) {
+	z, _ := NewZone("Europe/Riga")
+	w := &When{Days: 1 << 5, From: 22 * 60, To: 30 * 60, NoHolidays: true} // Friday ten to six
+	loc, _ := time.LoadLocation("Europe/Riga")
+	holiday := []int{Day(2026, 5, 8)}
+	for _, c := range []struct {
+		day, hour int
+		want      bool
+	}{{1, 21, false}, {1, 22, true}, {2, 5, true}, {2, 6, false}, {2, 22, false}, {8, 23, false}, {9, 3, false}, {15, 23, true}} {
+		at := time.Date(2026, 5, c.day, c.hour, 0, 0, 0, loc)
+		if got := w.Holds(z, holiday, at.Unix()); got != c.want {
+			t.Errorf("%v: %v", at, got)
+		}
+	}
+}
+
+func table(version uint64, entries []Entry, prefixes ...Prefix) *Table {
+	z, _ := NewZone("Europe/Riga")
+	t := &Table{Version: version, Dialling: Dialling{International: "00", National: "", Country: "371", ShortMost: 3}, Zone: z, Entries: entries}
+	if err := t.Build(prefixes, 10); err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func to(exchange int) []Choice { return []Choice{{Shares: []Share{{1, exchange, 0}}}} }
+
+func TestNumbersFindTheirWay(t *testing.T) {
+	tab := table(1, []Entry{
+		{Name: "riga", Least: 11, Most: 11, Choices: to(3)},
+		{Name: "clinic", Least: 8, Most: 11, Delete: 3, Insert: "9", Priority: true, Choices: to(4)},
+		{Name: "emergency", Least: 3, Most: 3, Emergency: true, Choices: to(5)},
+		{Name: "closed", Least: 4, Most: 12, Choices: []Choice{{Shares: []Share{{1, -1, 22}}}}},
+		{Name: "moved", Least: 11, Most: 11, Ported: true, Choices: to(6)},
+	}, Prefix{"371670", 0}, Prefix{"37167012", 1}, Prefix{"112", 2}, Prefix{"372", 3}, Prefix{"3712", 4})
+	tab.Screens = []Screen{{"all", "", "3712900"}, {"one", "37167", "371670"}, {"even emergency", "", "112"}}
+	if err := tab.buildScreens(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		caller, dialled string
+		outcome         Outcome
+		exchange        int
+		sent            string
+		cause           uint8
+	}{
+		{"", "67000000", ToOffice, 3, "37167000000", 0}, {"", "0037167000000", ToOffice, 3, "37167000000", 0},
+		{"", "67012345", ToOffice, 4, "967012345", 0}, {"", "112", ToOffice, 5, "112", 0}, {"37160", "112", ToOffice, 5, "112", 0},
+		{"", "003725555", Announce, -1, "", 22}, {"", "6700000", TooFew, -1, "", 28}, {"", "670000000", TooMany, -1, "", 28},
+		{"", "0049301234", NoRoute, -1, "", 1}, {"", "29001234", Barred, -1, "", 21}, {"37160000000", "67000000", ToOffice, 3, "37167000000", 0},
+		{"37167111111", "67000000", Barred, -1, "", 21}, {"37167111111", "29001234", Barred, -1, "", 21}, {"", "28001234", ToOffice, 6, "37128001234", 0},
+	} {
+		steps := 0
+		r := tab.Analyse(c.caller, c.dialled, 0, nil, func(string) { steps++ })
+		if r.Outcome != c.outcome || r.Exchange != c.exchange || r.Sent != c.sent || r.Cause != c.cause || steps < 2 {
+			t.Errorf("%s from %q: %+v in %d steps", c.dialled, c.caller, r, steps)
+		}
+	}
+	if r := tab.Analyse("", "28001234", 0, nil, nil); !r.Ask || tab.Again("", "37167000001", 0, nil).Exchange != 3 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestBadEntriesAreRefusedByName(t *testing.T) {
+	for _, e := range []Entry{{Name: "x", Least: 3, Most: 2, Choices: to(1)}, {Name: "x", Least: 3, Most: 25, Choices: to(1)},
+		{Name: "x", Least: 3, Most: 9, Delete: 4, Choices: to(1)}, {Name: "x", Least: 3, Most: 9, Insert: "1a", Choices: to(1)},
+		{Name: "x", Least: 3, Most: 9, Choices: to(10)}, {Name: "x", Least: 3, Most: 9, Choices: []Choice{{}}}} {
+		tab := &Table{Entries: []Entry{e}}
+		if err := tab.Build([]Prefix{{"1", 0}}, 10); err == nil || !strings.Contains(err.Error(), `route "x"`) {
+			t.Errorf("%+v: %v", e, err)
+		}
+	}
+}
+
+// After any number of calls each share has its part to within one call; a caller who dials again gets what it got.
+func TestSharesHoldOverFewCallsAsOverMany(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var shares []Share
+		sum := 0
+		for range rapid.IntRange(1, 5).Draw(t, "shares") {
+			w := rapid.IntRange(0, 50).Draw(t, "weight")
+			shares = append(shares, Share{w, len(shares), 0})
+			sum += w
+		}
+		if sum == 0 {
+			return
+		}
+		s := NewSplit(100)
+		pick := s.For(1)
+		given := make([]int, len(shares))
+		had := map[string]int{}
+		for n := 1; n <= 200; n++ {
+			caller := fmt.Sprint(n)
+			got := pick(0, 0, shares, caller)
+			given[got]++
+			had[caller] = got
+			for i, x := range shares {
+				want := float64(n) * float64(x.Weight) / float64(sum)
+				if d := float64(given[i]) - want; d > 1.0001 || d < -float64(len(shares)) {
+					t.Fatalf("after %d calls share %d of %v has %d, %.2f is its part", n, i, shares, given[i], want)
+				}
+			}
+			if again := fmt.Sprint(max(1, n-50)); pick(0, 0, shares, again) != had[again] {
+				t.Fatalf("caller %s got another share at its redial", again)
+			}
+		}
+		if len(s.had) > 100 {
+			t.Fatalf("%d callers are remembered", len(s.had))
+		}
+	})
+}
+
+func TestCallKeepsItsVersionAndOldOnesAreFreed(t *testing.T) {
+	v := NewVersions(table(1, nil), Trial{Window: 100000, Bound: 0.2, Least: 5})
+	first := v.Pin()
+	if err := v.Load(table(2, nil), 50, 10, 0); err != nil || v.Current().Version != 1 {
+		t.Fatal(err, v.Current().Version)
+	}
+	if v.Due(49, 1) || !v.Due(50, 2) {
+		t.Fatal("not switched at its instant")
+	}
+	second := v.Pin()
+	if first.Version != 1 || second.Version != 2 || v.Held() != 2 {
+		t.Fatalf("%d, %d, %d held", first.Version, second.Version, v.Held())
+	}
+	v.Unpin(first)
+	if v.Held() != 1 {
+		t.Fatalf("%d versions held with no call on the old one", v.Held())
+	}
+	for _, version := range []uint64{1, 2} {
+		if err := v.Load(table(version, nil), 0, 60, 3); !errors.Is(err, ErrOld) {
+			t.Fatalf("version %d: %v", version, err)
+		}
+	}
+	v.Load(table(4, nil), 100, 60, 3) // two changes at once: the newer waits
+	if err := v.Load(table(3, nil), 90, 60, 3); !errors.Is(err, ErrOld) {
+		t.Fatal(err)
+	}
+}
+
+func TestVersionIsTakenBackWhenCallsFindNoRoute(t *testing.T) {
+	for _, c := range []struct {
+		missed, of, before int
+		back               bool
+	}{{0, 100, 0, false}, {10, 100, 0, false}, {4, 5, 0, false}, {5, 6, 0, true}, {30, 60, 0, true}, {30, 60, 500, false}} {
+		v := NewVersions(table(1, nil), Trial{Window: 100000, Bound: 0.3, Least: 5})
+		for range c.before { // half of the calls found no route all along
+			v.Analysed(v.Current(), false, 0)
+			v.Analysed(v.Current(), true, 0)
+		}
+		v.Load(table(2, nil), 0, 0, 0)
+		back := false
+		for n := range c.of {
+			why, must := v.Analysed(v.Current(), (n+1)*c.missed/c.of == n*c.missed/c.of, policy.Tenths(n))
+			if must {
+				back = true
+				if _, err := v.Rollback(why, 10); err != nil {
+					t.Fatal(err)
+				}
+				break
+			}
+		}
+		if back != c.back {
+			t.Errorf("%+v: taken back %v", c, back)
+		}
+		if back {
+			if err := v.Load(table(2, nil), 0, 0, 0); !errors.Is(err, ErrRefused) || v.Current().Version != 1 {
+				t.Errorf("taken again: %v", err)
+			}
+		}
+	}
+	v := NewVersions(table(1, nil), Trial{Window: 100, Bound: 0.3, Least: 5})
+	v.Load(table(2, nil), 0, 0, 0)
+	for range 50 { // past its window it stays
+		if _, back := v.Analysed(v.Current(), false, 200); back {
+			t.Fatal("taken back past its window")
+		}
+	}
+}
+
+// Random loads, pins and roll backs: no version is freed under a call, none is kept without a reason.
+func TestVersionsUnderRandomUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewVersions(table(1, nil), Trial{Window: 1000, Bound: 0.5, Least: 3})
+		var calls []*Table
+		next := uint64(2)
+		for range 60 {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				calls = append(calls, v.Pin())
+			case 2:
+				if len(calls) > 0 {
+					i := rapid.IntRange(0, len(calls)-1).Draw(t, "which")
+					v.Unpin(calls[i])
+					calls = slices.Delete(calls, i, i+1)
+				}
+			case 3:
+				v.Load(table(next, nil), 0, 0, 0)
+				next++
+			case 4:
+				v.Rollback("test", 0)
+			}
+			held := map[uint64]bool{v.Current().Version: true}
+			for _, c := range calls {
+				held[c.Version] = true
+			}
+			if v.Held() != len(held) {
+				t.Fatalf("%d versions held, calls go by %v", v.Held(), held)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/numbers/trie.go
@@ -0,0 +1,140 @@
+package numbers
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"strings"
+)
+
+// DigitsMost is the longest number analysed.
+const DigitsMost = 24
+
+// symbols are the digits a number can have: 0 to 9, and codes 11 and 12 of the networks' own short codes.
+const symbols = "0123456789BC"
+
+// Prefix leads from the first digits of a number to an entry of a table.
+type Prefix struct {
+	Digits string
+	Entry  uint32
+}
+
+// Trie finds the longest prefix of a number. Its nodes stand in one array, the children of a node side by side, found by
+// counting the bits below the digit's: about a node for each prefix where ranges are dense, no pointer for the collector
+// to follow, and one step for each digit whatever the number of prefixes. It never changes once built.
+type Trie struct {
+	nodes []node
+	size  int
+}
+
+// node has a bit for each digit that leads on.
+type node struct {
+	first uint32 // index of the child of the lowest digit
+	entry uint32 // 1 more than the entry of the prefix that ends here, 0 none
+	next  uint16
+}
+
+func symbol(c byte) (uint, bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		return uint(c - '0'), true
+	case c == 'B' || c == 'C':
+		return uint(c-'B') + 10, true
+	}
+	return 0, false
+}
+
+// NewTrie builds a trie. Prefixes are sorted in place; one that stands twice with different entries, or has a digit that
+// there is not, is an error that names it.
+func NewTrie(all []Prefix) (*Trie, error) {
+	slices.SortFunc(all, func(a, b Prefix) int { return strings.Compare(a.Digits, b.Digits) })
+	for i, p := range all {
+		if len(p.Digits) > DigitsMost {
+			return nil, fmt.Errorf("prefix %s has %d digits, %d at most", p.Digits, len(p.Digits), DigitsMost)
+		}
+		for _, c := range []byte(p.Digits) {
+			if _, ok := symbol(c); !ok {
+				return nil, fmt.Errorf("prefix %q: %q is no digit", p.Digits, c)
+			}
+		}
+		if i > 0 && all[i-1].Digits == p.Digits && all[i-1].Entry != p.Entry {
+			return nil, fmt.Errorf("prefix %s stands twice, and leads to two places", p.Digits)
+		}
+	}
+	t := &Trie{nodes: make([]node, 1, len(all)+1), size: len(all)}
+	type span struct {
+		node     uint32
+		from, to int
+	}
+	level := []span{{0, 0, len(all)}}
+	for depth := 0; len(level) > 0; depth++ { // one digit of all prefixes after the other: children come to stand side by side
+		var below []span
+		for _, s := range level {
+			from := s.from
+			for from < s.to && len(all[from].Digits) == depth {
+				t.nodes[s.node].entry = all[from].Entry + 1
+				from++
+			}
+			t.nodes[s.node].first = uint32(len(t.nodes))
+			for from < s.to {
+				c := all[from].Digits[depth]
+				to := from + 1
+				for to < s.to && all[to].Digits[depth] == c {
+					to++
+				}
+				d, _ := symbol(c)
+				t.nodes[s.node].next |= 1 << d
+				below = append(below, span{uint32(len(t.nodes)), from, to})
+				t.nodes = append(t.nodes, node{})
+				from = to
+			}
+		}
+		level = below
+	}
+	return t, nil
+}
+
+// Find returns the entry of the longest prefix of a number and how many digits it has; false when none fits.
+func (t *Trie) Find(digits string) (entry uint32, length int, ok bool) {
+	n := t.nodes[0]
+	for i := 0; ; i++ {
+		if n.entry != 0 {
+			entry, length, ok = n.entry-1, i, true
+		}
+		if i == len(digits) {
+			return entry, length, ok
+		}
+		d, is := symbol(digits[i])
+		if !is || n.next&(1<<d) == 0 {
+			return entry, length, ok
+		}
+		n = t.nodes[n.first+uint32(bits.OnesCount16(n.next&(1<<d-1)))]
+	}
+}
+
+// Len is the number of prefixes, Octets the memory that they take.
+func (t *Trie) Len() int    { return t.size }
+func (t *Trie) Octets() int { return len(t.nodes) * 12 }
+
+// Walk calls for each prefix in rising order until told to stop.
+func (t *Trie) Walk(each func(digits string, entry uint32) bool) {
+	var path [DigitsMost]byte
+	var down func(n node, depth int) bool
+	down = func(n node, depth int) bool {
+		if n.entry != 0 && !each(string(path[:depth]), n.entry-1) {
+			return false
+		}
+		child := n.first
+		for d := range len(symbols) {
+			if n.next&(1<<d) != 0 {
+				path[depth] = symbols[d]
+				if !down(t.nodes[child], depth+1) {
+					return false
+				}
+				child++
+			}
+		}
+		return true
+	}
+	down(t.nodes[0], 0)
+}
