--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -52,6 +52,7 @@
 	}{
 		{"a call that stands", []Event{at(1100, Try, 3, 0), back(1400, 3, isup.ANM), fine}, nil},
 		{"no answer", nil, []int{1}},
+		{"no answer to one given too late to be told", []Event{answer(1500, isup.REL), {At: 1000 * ms, Kind: Offer, Ref: isup.Reference{Point: 1, Identity: 8}, Value: ms}}, nil},
 		{"the caller left early", []Event{at(2000, Leave, 0, 0)}, nil},
 		{"the caller left as its time was up", []Event{at(4000, Leave, 0, 0)}, []int{1}},
 		{"two refusals", []Event{answer(1500, isup.REL), answer(1600, isup.REL)}, []int{1}},
