Numbers in the exchange: each call keeps the version it began with; tables kept on disk

Calls that begin at an exchange are analysed by the version in force and keep it until their end; the destination and the version travel with the call, so that two exchanges cannot route by two tables. Versions are files with a checksum, written whole or not at all.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/isup"
+	"indigodrift/internal/numbers"
 	"indigodrift/policy"
 )
 
@@ -99,21 +100,23 @@
 
 // State of a call. become is the one place that changes it.
 //
-//	Offered   -> Trying (a set-up sent on), Answering (its line rings), Over
+//	Asking    -> Offered (to the module), Answering (its line rings), Over; where its number leads is being found
+//	Offered   -> Trying (a set-up sent on), Over
 //	Trying    -> Offered (that try ended, the module decides), Standing, Over
 //	Answering -> Standing, Over
 //	Standing  -> Over
 type State uint8
 
 const (
-	Offered State = iota
+	Asking State = iota
+	Offered
 	Trying
 	Answering
 	Standing
 	Over
 )
 
-var mayBecome = [...][]State{Offered: {Trying, Answering, Over}, Trying: {Offered, Standing, Over},
+var mayBecome = [...][]State{Asking: {Offered, Answering, Over}, Offered: {Trying, Over}, Trying: {Offered, Standing, Over},
 	Answering: {Standing, Over}, Standing: {Over}, Over: nil}
 
 // leg is one side of a call: where it came from or where its present try went.
@@ -130,8 +133,14 @@
 	digits   string
 	hops     uint8
 	in, out  leg
-	decided  bool // offered to the module: originating here or in transit
-	closed   bool // its final answer was told
+	caller   string         // calling number, "" when not told
+	table    *numbers.Table // the version it goes by here, nil when it was found elsewhere
+	version  uint64         // of the table that found its destination, wherever that was
+	found    numbers.Result // what its number leads to, while portability is asked for
+	donor    bool           // portability could not be asked in time
+	counted  bool           // owed a final answer by this exchange
+	decided  bool           // offered to the module: originating here or in transit
+	closed   bool           // its final answer was told
 	beganAt  policy.Tenths
 	leavesAt policy.Tenths
 	limitAt  policy.Tenths // when the present try times out
@@ -231,7 +240,9 @@
 	ownUp    bool
 	ownLife  string
 	draining bool
-	waiting  int // offered calls that have no final answer yet
+	waiting  int // calls that have no final answer yet
+	number   *Numbering
+	told     []portTold
 }
 
 // New makes the exchange; build makes its decider round the interface that the exchange offers to it.
@@ -249,9 +260,9 @@
 }
 
 // Next is when Tick must be called next.
-func (x *Exchange) Next() policy.Tenths { return x.timers[0].at }
+func (x *Exchange) Next() policy.Tenths { return min(x.timers[0].at, x.nextNumbering()) }
 
-// Unanswered counts the calls offered that have no final answer yet; Standing all that stand.
+// Unanswered counts the calls that have no final answer yet.
 func (x *Exchange) Unanswered() int { return x.waiting }
 
 // Standing counts the calls that stand, in whatever part this exchange has in them.
@@ -294,6 +305,7 @@
 		}
 		x.settle()
 	}
+	x.tickNumbering()
 	x.settle()
 }
 
@@ -321,6 +333,12 @@
 			x.tell(r)
 			continue
 		}
+		if len(x.told) > 0 {
+			t := x.told[0]
+			x.told = x.told[1:]
+			x.portKnown(t)
+			continue
+		}
 		told := false
 		for i := range x.groups {
 			if g := &x.groups[i]; g.changed {
@@ -377,6 +395,11 @@
 	}
 	if s == Over {
 		delete(x.calls, k.id)
+		x.unnumber(k)
+		if k.counted && !k.closed { // its line answered nothing, or its side is gone: nobody is owed an answer
+			k.closed = true
+			x.waiting--
+		}
 		if k.in.hop.Side == Line {
 			delete(x.lines, lineKey{k.in.hop.Point, k.in.bundle.CIC})
 		}
@@ -406,7 +429,7 @@
 
 // answered tells the carrier of the final answer, once.
 func (x *Exchange) answered(k *call, o Outcome, comeBack policy.Tenths) {
-	if k.closed || !k.decided {
+	if k.closed || !k.counted {
 		return
 	}
 	k.closed = true
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -168,7 +168,6 @@
 // begin takes a new call: one that ends on a line here is rung, all others are offered to the module.
 func (x *Exchange) begin(id uint32, in leg, m isup.Message, age policy.Tenths) {
 	transit := in.hop.Side == Behind
-	dest, err := strconv.Atoi(m.Digits[:min(numberDigits, len(m.Digits))])
 	refuse := func(c isup.Cause) {
 		says := isup.Says{}
 		if x.draining && x.d.ComeBackMost > 0 {
@@ -181,7 +180,7 @@
 	case x.draining:
 		refuse(isup.Congestion)
 		return
-	case err != nil || bearer >= len(x.d.Bearers) || m.Width < 1:
+	case bearer >= len(x.d.Bearers) || m.Width < 1:
 		x.out.Note("fault: a call with a number or bearer type that there is not")
 		refuse(isup.TemporaryFailure)
 		return
@@ -204,29 +203,57 @@
 		}
 		return
 	}
-	k := &call{id: id, in: in, ref: m.Ref, digits: m.Digits, beganAt: x.now, leavesAt: x.now + left, hops: hopsAtStart}
+	k := &call{id: id, in: in, ref: m.Ref, digits: m.Digits, caller: m.Caller, donor: m.Says.Marks&isup.Donor != 0, beganAt: x.now, leavesAt: x.now + left, hops: hopsAtStart}
 	if transit {
 		k.hops = m.Hops - 1
 	}
-	k.ask = policy.Call{ID: k.id, Number: number(m.Digits), Bearer: bearer, Dest: dest, Width: m.Width, Advice: -1, TTL: left,
-		Redial: m.Says.Marks&isup.Redial != 0, Cut: m.Says.Marks&isup.CutBefore != 0, Transit: transit && dest != x.own}
+	k.ask = policy.Call{ID: k.id, Number: number(m.Digits), Bearer: bearer, Dest: -1, Width: m.Width, Advice: -1, TTL: left,
+		Redial: m.Says.Marks&isup.Redial != 0, Cut: m.Says.Marks&isup.CutBefore != 0, Transit: transit}
 	x.calls[k.id] = k
 	if in.hop.Side == Line {
 		x.lines[lineKey{in.hop.Point, in.bundle.CIC}] = k.id
 	}
 	x.at(k.leavesAt+handBack/2, dueLeave, uint64(k.id)) // after any try's own time-out at that instant
-	if dest == x.own {
+	switch {
+	case m.Says.Has&isup.PartRoute != 0 && transit: // the table of the exchange where it began counts, here as there
+		k.version = m.Says.Table
+		x.routed(k, int(m.Says.Dest))
+	case x.number != nil && !transit:
+		x.analyse(k)
+	default:
+		dest, err := strconv.Atoi(m.Digits[:min(numberDigits, len(m.Digits))])
+		if err != nil {
+			dest = -1
+		}
+		x.routed(k, dest)
+	}
+}
+
+// routed takes a call on whose destination is known: its line rings, or the module gets it.
+func (x *Exchange) routed(k *call, dest int) {
+	if k.ask.Dest = dest; dest == x.own {
+		k.ask.Transit = false
 		x.ring(k)
 		return
 	}
 	if tandem, ok := x.advice[dest]; ok && !k.ask.Transit {
 		k.ask.Advice = tandem
 	}
+	x.count(k)
 	k.decided = true
-	x.waiting++
+	k.ask.TTL = k.leavesAt - x.now
+	x.become(k, Offered)
 	x.decide.Offer(x.now, k.ask)
 }
 
+// count notes that a call is owed a final answer.
+func (x *Exchange) count(k *call) {
+	if !k.counted {
+		k.counted = true
+		x.waiting++
+	}
+}
+
 // number is the called number as the module knows it.
 func number(digits string) uint64 {
 	n, err := strconv.ParseUint(digits, 10, 64)
@@ -255,13 +282,21 @@
 	if k.ask.Cut {
 		marks |= isup.CutBefore
 	}
+	if k.donor {
+		marks |= isup.Donor
+	}
 	until := k.leavesAt
 	if k.state == Trying {
 		until = min(until, k.limitAt)
 	}
-	x.out.Transmit(k.out.hop, isup.Message{CIC: k.out.bundle.CIC, Type: isup.IAM, Digits: k.digits, Width: k.ask.Width,
-		Slots: k.out.bundle.Slots, Hops: k.hops, Ref: k.ref, Says: isup.Says{Has: isup.PartLeft | isup.PartCall,
-			Left: uint32(max(0, until-x.now)), Stamp: uint32(x.now), Bearer: uint8(k.ask.Bearer), Marks: marks}})
+	says := isup.Says{Has: isup.PartLeft | isup.PartCall, Left: uint32(max(0, until-x.now)), Stamp: uint32(x.now),
+		Bearer: uint8(k.ask.Bearer), Marks: marks}
+	if k.version != 0 {
+		says.Has |= isup.PartRoute
+		says.Dest, says.Table = uint16(k.ask.Dest), k.version
+	}
+	x.out.Transmit(k.out.hop, isup.Message{CIC: k.out.bundle.CIC, Type: isup.IAM, Digits: k.digits, Caller: k.caller, Width: k.ask.Width,
+		Slots: k.out.bundle.Slots, Hops: k.hops, Ref: k.ref, Says: says})
 }
 
 // stand passes an answer back to the caller's side.
@@ -283,6 +318,8 @@
 	case k.decided:
 		x.decide.CallerLeft(x.now, k.id)
 		x.answered(k, Left, 0)
+	default:
+		x.answered(k, Left, 0)
 	}
 	x.become(k, Over)
 }
--- a/internal/hclread/hclread.go
+++ b/internal/hclread/hclread.go
@@ -160,6 +160,33 @@
 	return v.AsString()
 }
 
+// Texts reads a list of strings.
+func (b *Block) Texts(name string) []string {
+	b.used[name] = true
+	a := b.body.Attributes[name]
+	if a == nil {
+		return nil
+	}
+	v, diags := a.Expr.Value(nil)
+	b.file.faults = append(b.file.faults, diags...)
+	if diags.HasErrors() {
+		return nil
+	}
+	var all []string
+	if !v.CanIterateElements() {
+		b.FaultAt(name, "%s must be a list of strings", name)
+		return nil
+	}
+	for _, e := range v.AsValueSlice() {
+		if e.Type() != cty.String || e.IsNull() {
+			b.FaultAt(name, "%s must be a list of strings", name)
+			return nil
+		}
+		all = append(all, e.AsString())
+	}
+	return all
+}
+
 // One reads a string that must be one of some.
 func (b *Block) One(name, standard string, of ...string) string {
 	s := b.Text(name, false, standard)
--- a/internal/isup/isup.go
+++ b/internal/isup/isup.go
@@ -73,6 +73,7 @@
 	WidthMost = 30
 
 	paramReference = 0x01
+	paramCaller    = 0x0a
 	paramUser      = 0x20
 	paramMap       = 0x25
 	paramHops      = 0x3d
@@ -91,6 +92,7 @@
 	CIC      uint16
 	Type     Type
 	Digits   string    // called party number (IAM)
+	Caller   string    // calling party number, "" when not told (IAM)
 	Width    int       // N of N x 64 kbit/s (IAM)
 	Slots    uint32    // bit t-1 set: time slot t of the multiplex is part of a multirate call (IAM)
 	Hops     uint8     // exchanges that the call may still cross (IAM)
@@ -165,25 +167,15 @@
 		// nature of connection; forward call indicators: ISUP all the way; ordinary subscriber; medium; pointers
 		buf = append(buf, 0, 0x60, 0x01, 10, medium, 2, 0)
 		pointer := len(buf) - 1
-		size := 2 + (len(m.Digits)+1)/2
-		odd := byte(0)
-		if len(m.Digits)%2 == 1 {
-			odd = 0x80
+		if buf, ok = appendNumber(buf, m.Digits, 0x10); !ok { // E.164 plan
+			return buf[:at], bad("called number %q", m.Digits)
 		}
-		buf = append(buf, byte(size), odd|3, 0x10) // national number, E.164 plan
-		for i := 0; i < len(m.Digits); i += 2 {
-			pair, ok := digit(m.Digits[i])
-			if ok && i+1 < len(m.Digits) {
-				var high byte
-				high, ok = digit(m.Digits[i+1])
-				pair |= high << 4
-			}
-			if !ok {
-				return buf[:at], bad("called number %q", m.Digits)
+		buf[pointer] = byte(len(buf) - pointer)
+		if m.Caller != "" {
+			if buf, ok = appendNumber(append(buf, paramCaller), m.Caller, 0x13); !ok || len(m.Caller) > DigitsMost { // presented, network provided
+				return buf[:at], bad("calling number %q", m.Caller)
 			}
-			buf = append(buf, pair)
 		}
-		buf[pointer] = byte(len(buf) - pointer)
 		if m.Ref != (Reference{}) {
 			buf = append(buf, paramReference, 5, byte(m.Ref.Identity>>16), byte(m.Ref.Identity>>8), byte(m.Ref.Identity),
 				byte(m.Ref.Point), byte(m.Ref.Point>>8))
@@ -230,6 +222,25 @@
 	return append(m.Says.appendTo(buf), 0)
 }
 
+// appendNumber adds the length and the octets of a national number; false when a sign is no address signal.
+func appendNumber(buf []byte, digits string, plan byte) ([]byte, bool) {
+	odd := byte(len(digits)%2) << 7
+	buf = append(buf, byte(2+(len(digits)+1)/2), odd|3, plan)
+	for i := 0; i < len(digits); i += 2 {
+		pair, ok := digit(digits[i])
+		if ok && i+1 < len(digits) {
+			var high byte
+			high, ok = digit(digits[i+1])
+			pair |= high << 4
+		}
+		if !ok {
+			return buf, false
+		}
+		buf = append(buf, pair)
+	}
+	return buf, true
+}
+
 func digit(c byte) (byte, bool) {
 	switch {
 	case c >= '0' && c <= '9':
@@ -371,6 +382,11 @@
 			}
 			m.Ref.Identity = uint32(value[0])<<16 | uint32(value[1])<<8 | uint32(value[2])
 			m.Ref.Point = binary.LittleEndian.Uint16(value[3:])
+		case paramCaller:
+			var err error
+			if m.Caller, err = digits(value); err != nil {
+				return fmt.Errorf("calling party number: %w", err)
+			}
 		case paramMap:
 			if len(value) != 5 || value[0]&0x3f != mapOf2048 {
 				return bad("circuit assignment map % x", value)
--- a/internal/isup/isup_test.go
+++ b/internal/isup/isup_test.go
@@ -13,6 +13,7 @@
 	switch m.Type {
 	case IAM:
 		m.Digits = rapid.StringMatching(`[0-9BC]{1,24}`).Draw(t, "digits")
+		m.Caller = rapid.StringMatching(`[0-9BC]{0,24}`).Draw(t, "caller")
 		m.Width = rapid.IntRange(1, WidthMost).Draw(t, "width")
 		m.Slots = rapid.Uint32Max(1<<PerMultiplex-1).Draw(t, "slots")
 		m.Hops = rapid.Uint8Max(31).Draw(t, "hops")
@@ -24,7 +25,7 @@
 	}
 	if m.Type == IAM || m.Type == ACM || m.Type == ANM || m.Type == REL || m.Type == RLC {
 		s := &m.Says
-		s.Has = Part(rapid.Uint8Max(15).Draw(t, "has"))
+		s.Has = Part(rapid.Uint8Max(31).Draw(t, "has"))
 		if s.Has&PartLeft != 0 {
 			s.Left, s.Stamp = rapid.Uint32().Draw(t, "left"), rapid.Uint32().Draw(t, "stamp")
 		}
@@ -34,6 +35,9 @@
 		if s.Has&PartComeBack != 0 {
 			s.ComeBack = rapid.Uint32().Draw(t, "come back")
 		}
+		if s.Has&PartRoute != 0 {
+			s.Dest, s.Table = rapid.Uint16().Draw(t, "dest"), rapid.Uint64().Draw(t, "table")
+		}
 		if s.Has&PartCall != 0 {
 			s.Bearer, s.Marks = rapid.Uint8().Draw(t, "bearer"), rapid.Uint8().Draw(t, "marks")
 		}
--- a/internal/isup/says.go
+++ b/internal/isup/says.go
@@ -12,7 +12,9 @@
 	HoldBack uint16 // share of new set-ups asked to be held back, in thousandths
 	ComeBack uint32 // the caller should not dial again before
 	Bearer   uint8  // row of the operator's bearer types
-	Marks    uint8  // Redial, CutBefore
+	Marks    uint8  // Redial, CutBefore, Donor
+	Dest     uint16 // exchange that the call's table found, where it began
+	Table    uint64 // and the version of that table
 }
 
 // Part names a part of Says.
@@ -23,12 +25,14 @@
 	PartLoad
 	PartComeBack
 	PartCall
+	PartRoute
 )
 
 // Marks of a call.
 const (
 	Redial    = 1 // the caller was turned away before
 	CutBefore = 2 // it stood, was cut and comes again
+	Donor     = 4 // portability could not be asked in time: it goes by the donor's route
 )
 
 const (
@@ -38,6 +42,7 @@
 	elementLoad     = 2
 	elementComeBack = 3
 	elementCall     = 4
+	elementRoute    = 5
 )
 
 func (s Says) any() bool { return s.Has != 0 }
@@ -65,6 +70,11 @@
 	if s.Has&PartCall != 0 {
 		buf = append(buf, elementCall, 2, s.Bearer, s.Marks)
 	}
+	if s.Has&PartRoute != 0 {
+		buf = append(buf, elementRoute, 10)
+		buf = binary.BigEndian.AppendUint16(buf, s.Dest)
+		buf = binary.BigEndian.AppendUint64(buf, s.Table)
+	}
 	buf[size] = byte(len(buf) - size - 1)
 	return buf
 }
@@ -95,7 +105,10 @@
 		case name == elementCall && len(v) == 2:
 			s.Has |= PartCall
 			s.Bearer, s.Marks = v[0], v[1]
-		case name >= elementLeft && name <= elementCall:
+		case name == elementRoute && len(v) == 10:
+			s.Has |= PartRoute
+			s.Dest, s.Table = binary.BigEndian.Uint16(v), binary.BigEndian.Uint64(v[2:])
+		case name >= elementLeft && name <= elementRoute:
 			return bad("user-to-user element %d of %d octets", name, len(v))
 		}
 		b = b[2+len(v):]
--- /dev/null
+++ b/internal/numberfile/store.go
@@ -0,0 +1,205 @@
+package numberfile
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"indigodrift/internal/numbers"
+)
+
+// Store keeps the versions that a controller was given in a folder: one file a version, and a history, a line each time
+// another comes into force. Both are written so that a kill at any point leaves what was there before.
+type Store struct{ dir string }
+
+// Record is one line of the history.
+type Record struct {
+	Version uint64    `json:"version"`
+	Name    string    `json:"name"`
+	At      time.Time `json:"at"`
+	What    string    `json:"what"` // in force, rolled back
+	Why     string    `json:"why,omitempty"`
+	Sum     string    `json:"sum"` // of the version's file
+}
+
+// ErrDamaged is wrapped where a kept version does not have its checksum.
+var ErrDamaged = errors.New("the file does not have its checksum")
+
+const magic = "indigodrift numbers 1\n"
+
+// OpenStore opens or makes a store.
+func OpenStore(dir string) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("store of tables: %w", err)
+	}
+	return &Store{dir}, nil
+}
+
+func (s *Store) file(version uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("table-%010d", version))
+}
+
+// Encode is a source as one file: a line that tells the format, a line of JSON with the parts' sizes and the checksum of
+// all after it, then the parts.
+func Encode(s Source) []byte {
+	body := append(append([]byte{}, s.Rules...), s.Prefix...)
+	sum := sha256.Sum256(body)
+	head, _ := json.Marshal(header{s.Name, s.CSV, len(s.Rules), len(s.Prefix), hex.EncodeToString(sum[:])})
+	return append(append([]byte(magic), append(head, '\n')...), body...)
+}
+
+type header struct {
+	Name, CSV     string
+	Rules, Prefix int
+	Sum           string
+}
+
+// Decode reads what Encode wrote, and nothing else.
+func Decode(b []byte) (Source, error) {
+	rest, ok := bytes.CutPrefix(b, []byte(magic))
+	if !ok {
+		return Source{}, fmt.Errorf("%w: not a table of this format", ErrDamaged)
+	}
+	line, body, ok := bytes.Cut(rest, []byte("\n"))
+	var h header
+	if err := json.Unmarshal(line, &h); !ok || err != nil {
+		return Source{}, fmt.Errorf("%w: its header does not read", ErrDamaged)
+	}
+	if h.Rules < 0 || h.Prefix < 0 || len(body) != h.Rules+h.Prefix {
+		return Source{}, fmt.Errorf("%w: %d octets, its header says %d and %d", ErrDamaged, len(body), h.Rules, h.Prefix)
+	}
+	if sum := sha256.Sum256(body); hex.EncodeToString(sum[:]) != h.Sum {
+		return Source{}, ErrDamaged
+	}
+	return Source{Name: h.Name, Rules: body[:h.Rules], CSV: h.CSV, Prefix: body[h.Rules:]}, nil
+}
+
+// Keep writes a version down, whole or not at all.
+func (s *Store) Keep(version uint64, src Source) error {
+	return whole(s.file(version), Encode(src))
+}
+
+// whole writes a file beside its place, makes sure that it is on the disk, and moves it there.
+func whole(name string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(name), ".writing-*")
+	if err != nil {
+		return fmt.Errorf("keep table: %w", err)
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), name)
+	}
+	if err != nil {
+		return fmt.Errorf("keep table: %w", err)
+	}
+	return nil
+}
+
+// Note adds a line to the history.
+func (s *Store) Note(r Record) error {
+	b, err := os.ReadFile(s.file(r.Version))
+	if err != nil {
+		return fmt.Errorf("history of tables: %w", err)
+	}
+	sum := sha256.Sum256(b)
+	r.Sum = hex.EncodeToString(sum[:])
+	line, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("history of tables: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(s.dir, "history"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("history of tables: %w", err)
+	}
+	_, err = f.Write(append(line, '\n'))
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return fmt.Errorf("history of tables: %w", err)
+	}
+	return nil
+}
+
+// History reads the history; lines that do not read, as the last may after a kill, are counted and passed over.
+func (s *Store) History() (all []Record, bad int, err error) {
+	f, err := os.Open(filepath.Join(s.dir, "history"))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("history of tables: %w", err)
+	}
+	defer f.Close()
+	in := bufio.NewReader(f)
+	for {
+		line, err := in.ReadBytes('\n')
+		var r Record
+		if len(bytes.TrimSpace(line)) > 0 {
+			if json.Unmarshal(line, &r) == nil {
+				all = append(all, r)
+			} else {
+				bad++
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return all, bad, nil
+		}
+		if err != nil {
+			return all, bad, fmt.Errorf("history of tables: %w", err)
+		}
+	}
+}
+
+// Load reads one version that was kept.
+func (s *Store) Load(version uint64, exchanges int) (*numbers.Table, error) {
+	b, err := os.ReadFile(s.file(version))
+	if err != nil {
+		return nil, fmt.Errorf("version %d: %w", version, err)
+	}
+	src, err := Decode(b)
+	if err != nil {
+		return nil, fmt.Errorf("version %d: %w", version, err)
+	}
+	t, err := src.Table(exchanges)
+	if err != nil {
+		return nil, fmt.Errorf("version %d: %w", version, err)
+	}
+	if t.Version != version {
+		return nil, fmt.Errorf("version %d: the file is version %d", version, t.Version)
+	}
+	return t, nil
+}
+
+// InForce is the version that was in force last, or, where that is damaged, the last good one before it. doubts say what
+// was passed over and why; no version at all is no error.
+func (s *Store) InForce(exchanges int) (t *numbers.Table, doubts []string, err error) {
+	all, bad, err := s.History()
+	if err != nil {
+		return nil, nil, err
+	}
+	if bad > 0 {
+		doubts = append(doubts, fmt.Sprintf("%d lines of the history do not read", bad))
+	}
+	tried := map[uint64]bool{}
+	for i := len(all) - 1; i >= 0; i-- {
+		v := all[i].Version
+		if tried[v] {
+			continue
+		}
+		tried[v] = true
+		if t, err := s.Load(v, exchanges); err == nil {
+			return t, doubts, nil
+		} else {
+			doubts = append(doubts, err.Error())
+		}
+	}
+	return nil, doubts, nil
+}
