--- /dev/null
+++ b/internal/numberfile/file_test.go
@@ -0,0 +1,141 @@
+package numberfile
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"indigodrift/internal/numbers"
+)
+
+const rules = `name = "test"
+version = 7
+zone = "Europe/Riga"
+holidays = ["2026-11-18"]
+prefixes = "p.csv"
+dialling {
+  country = "371"
+  short_most = 3
+}
+route "riga" {
+  least = 11
+  most = 11
+  choice {
+    days = ["mon", "tue"]
+    from = "22:00"
+    to = "06:00"
+    holidays = "never"
+    to "1" {
+      weight = 3
+    }
+    announce {
+      cause = 22
+      weight = 1
+    }
+  }
+  choice {
+    to "2" {}
+  }
+}
+screen "none" {
+  numbers = "37190"
+}
+`
+
+func source(t *testing.T, rules, csv string) Source {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{"t.hcl": rules, "p.csv": csv} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := ReadSource(filepath.Join(dir, "t.hcl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestTableFromItsFiles(t *testing.T) {
+	tab, err := source(t, rules, "# comment\n37167,riga\n37126,riga\n").Table(5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loc, _ := time.LoadLocation("Europe/Riga")
+	for _, c := range []struct {
+		at   time.Time
+		want int
+	}{{time.Date(2026, 11, 17, 23, 0, 0, 0, loc), 1}, {time.Date(2026, 11, 18, 5, 0, 0, 0, loc), 1}, {time.Date(2026, 11, 18, 23, 0, 0, 0, loc), 2}, {time.Date(2026, 11, 20, 23, 0, 0, 0, loc), 2}} {
+		if r := tab.Analyse("", "67000000", c.at.Unix(), nil, nil); r.Exchange != c.want {
+			t.Errorf("%v: %+v", c.at, r)
+		}
+	}
+	if r := tab.Analyse("", "90000000", 0, nil, nil); r.Outcome != numbers.NoRoute || tab.Version != 7 || tab.Prefixes() != 2 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestFaultsNameFileLineAndColumn(t *testing.T) {
+	for _, c := range []struct{ from, to, csv, want string }{
+		{`to "2" {}`, `to "9" {}`, "", `t.hcl:27,5: exchange "9"`}, {"least = 11", "least = 40", "", "t.hcl:11,11: least is 40"},
+		{`"mon", "tue"`, `"mon", "noday"`, "", `t.hcl:14,12: day "noday"`}, {"Europe/Riga", "Europe/Nowhere", "", "t.hcl:3,8: time zone"},
+		{"22:00", "25:00", "", "t.hcl:15,12"}, {"", "", "37167,riga\n371x,riga\n", `p.csv:2,4: 'x' is no digit`},
+		{"", "", "37167,riga\n3712,jelgava\n", `p.csv:2,6: no route "jelgava"`}, {"", "", "1,riga\n1,riga,x\n", "p.csv: record on line 2"},
+	} {
+		_, err := source(t, strings.Replace(rules, c.from, c.to, 1), c.csv).Table(5)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.want, err)
+		}
+	}
+}
+
+// A kept version cut at any octet, or with any one changed, is never taken for good; the store falls back to the last good
+// one and says so.
+func TestDamagedVersionsAreNeverTaken(t *testing.T) {
+	whole := Encode(source(t, rules, "37167,riga\n"))
+	if s, err := Decode(whole); err != nil || string(s.Prefix) != "37167,riga\n" {
+		t.Fatal(err)
+	}
+	for n := range whole {
+		if _, err := Decode(whole[:n]); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("cut to %d of %d octets: %v", n, len(whole), err)
+		}
+		for bit := range 8 {
+			b := append([]byte{}, whole...)
+			b[n] ^= 1 << bit
+			if s, err := Decode(b); err == nil && string(s.Rules)+string(s.Prefix) != rules+"37167,riga\n" {
+				t.Fatalf("octet %d, bit %d: taken", n, bit)
+			}
+		}
+	}
+}
+
+func TestStoreComesBackWithTheLastGoodVersion(t *testing.T) {
+	st, err := OpenStore(filepath.Join(t.TempDir(), "store"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tab, _, err := st.InForce(5); tab != nil || err != nil {
+		t.Fatal(tab, err)
+	}
+	for _, v := range []string{"1", "2", "3"} {
+		s := source(t, strings.Replace(rules, "version = 7", "version = "+v, 1), "37167,riga\n")
+		n := uint64(v[0] - '0')
+		if err := errors.Join(st.Keep(n, s), st.Note(Record{Version: n, What: "in force"})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	os.WriteFile(st.file(3), []byte(magic+"{}"), 0o644) // damaged
+	os.Remove(st.file(2))                               // gone
+	f, _ := os.OpenFile(filepath.Join(st.dir, "history"), os.O_APPEND|os.O_WRONLY, 0)
+	f.WriteString(`{"version":9,"na`) // a kill in the middle of a line
+	f.Close()
+	tab, doubts, err := st.InForce(5)
+	if err != nil || tab == nil || tab.Version != 1 || len(doubts) != 3 {
+		t.Fatalf("%v, doubts %q, %v", tab, doubts, err)
+	}
+}
