--- a/cmd/indigodrift/serve.go
+++ b/cmd/indigodrift/serve.go
@@ -77,9 +77,12 @@
 		build = wrong.Deciding(build)
 	}
 	var d net.Dialer
-	station := control.New(s, build, func(ctx context.Context, address string) (net.Conn, error) {
+	station, err := control.New(s, build, func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
 	}, log)
+	if err != nil {
+		return err
+	}
 	station.Ready = func() { fmt.Println("ready") }
 	if wrong != nil {
 		station.Sent = wrong.Sent
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -156,10 +156,13 @@
 				s.Neighbours = append(s.Neighbours, Neighbour{exchange.Neighbour{Number: j, Circuits: 100}, at[j]})
 			}
 		}
-		st := New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+		st, err := New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 			return policy.New(d, x, now)
 		},
 			func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) }, slog.New(slog.DiscardHandler))
+		if err != nil {
+			b.Fatal(err)
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- st.Run(ctx) }()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,11 +8,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"indigodrift/internal/enum"
 	"indigodrift/internal/exchange"
 	"indigodrift/internal/isup"
 	"indigodrift/internal/lag"
@@ -36,8 +38,10 @@
 	OwnSwitch  string
 	Register   string
 	Neighbours []Neighbour
-	Inbox      int // messages that may wait to be handled
-	LinkMost   int // octets that may wait on one link
+	Inbox      int      // messages that may wait to be handled
+	LinkMost   int      // octets that may wait on one link
+	Control    string   // address that takes operators' orders, "" none
+	Numbers    *Numbers // nil: the first digits of a number name the exchange
 }
 
 // Build makes the deciding module of an exchange.
@@ -66,6 +70,7 @@
 	evAdvice
 	evLost
 	evDo
+	evPort
 )
 
 type event struct {
@@ -79,6 +84,8 @@
 	list   membership.List
 	advice map[int]int
 	do     func()
+	port   enum.Answer
+	id     uint32
 }
 
 // Station is one running exchange.
@@ -97,14 +104,16 @@
 	stall  lag.Stall
 	held   []event        // read since a stall ended, not handled yet
 	behind map[uint32]int // point code: index of the neighbour
-	turned atomic.Int64   // calls answered at the door as the inbox was full
-	Ready  func()         // called once when the own switch first answers
+	tables *tables
+	orders net.Listener
+	turned atomic.Int64 // calls answered at the door as the inbox was full
+	Ready  func()       // called once when the own switch first answers
 	// Sent, if set, stands between the exchange and the links: scripted days alone set it, to plant a broken rule.
 	Sent func(to exchange.Hop, m isup.Message, send func(exchange.Hop, isup.Message))
 }
 
 // New makes the station of a site; Run runs it.
-func New(site Site, build Build, dial trunk.Dialer, log *slog.Logger) *Station {
+func New(site Site, build Build, dial trunk.Dialer, log *slog.Logger) (*Station, error) {
 	s := &Station{site: site, log: log, clock: &clock{base: time.Now()}, view: membership.NewView(site.Exchanges),
 		inbox: make(chan event, site.Inbox), done: make(chan struct{}), behind: map[uint32]int{},
 		lags: make([]lag.Lag, len(site.Neighbours)+1), Ready: func() {}}
@@ -123,7 +132,18 @@
 	s.links = append(s.links, trunk.NewLink(line, dial, s.clock, (*reader)(s)))
 	s.reg = register.NewClient(site.Deployment.Own, site.Register, line.Seed+1, 1, dial, s.clock, (*reader)(s))
 	s.x = exchange.New(site.Deployment, near, (*hands)(s), s.clock.Now(), build)
-	return s
+	if site.Numbers != nil {
+		if err := s.openTables(site.Numbers, line.Seed+2); err != nil {
+			return nil, err
+		}
+	}
+	if site.Control != "" {
+		var err error
+		if s.orders, err = net.Listen("tcp", site.Control); err != nil {
+			return nil, fmt.Errorf("control socket: %w", err)
+		}
+	}
+	return s, nil
 }
 
 // ErrUnanswered is what Run returns when a drain ended with calls not answered.
@@ -138,6 +158,12 @@
 		all.Go(func() { l.Keep(carrying) })
 	}
 	all.Go(func() { s.reg.Keep(carrying) })
+	if s.tables != nil {
+		all.Go(func() { s.tables.run(carrying) })
+	}
+	if s.orders != nil {
+		all.Go(func() { s.takeOrders(carrying, s.orders) })
+	}
 	err := s.loop(ctx)
 	if err == nil { // the last answers are on their way out of the queues
 		time.Sleep(20 * time.Millisecond)
@@ -285,6 +311,14 @@
 		s.x.ListLost(now)
 	case evDo:
 		ev.do()
+	case evPort:
+		s.x.Change(now, func(n *exchange.Numbering) {
+			if ev.err != nil {
+				n.Inquirer.Failed(now, ev.id)
+			} else {
+				n.Inquirer.Answered(now, ev.id, ev.port.Port, ev.port.Known, ev.port.Age)
+			}
+		})
 	}
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -49,10 +49,13 @@
 	s := Site{Deployment: policy.Deployment{Own: 0, Seed: 1, MaxTries: 4, ReleaseTime: 3000,
 		Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}}, Exchanges: 3, OwnSwitch: "own", Register: "none",
 		Neighbours: []Neighbour{{exchange.Neighbour{Number: 1, Circuits: 4}, "away"}}, Inbox: inbox, LinkMost: 1 << 16}
-	b.station = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+	b.station, err = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 		return policy.New(d, x, now)
 	},
 		func(_ context.Context, address string) (net.Conn, error) { return m.Dial(address) }, slog.New(slog.NewTextHandler(b, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.drain = cancel
 	go func() { b.ended <- b.station.Run(ctx) }()
@@ -212,7 +215,7 @@
 		b := &bench{t: t, ended: make(chan error, 1)}
 		s := Site{Deployment: policy.Deployment{Own: 0, MaxTries: 4, Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}},
 			Exchanges: 3, OwnSwitch: "own", Register: "none", Inbox: 64, LinkMost: 1 << 16}
-		b.station = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+		b.station, _ = New(s, func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 			return policy.New(d, x, now)
 		},
 			func(_ context.Context, address string) (net.Conn, error) { return m.Dial(address) }, slog.New(slog.DiscardHandler))
--- /dev/null
+++ b/internal/control/numbering.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"indigodrift/internal/enum"
+	"indigodrift/internal/exchange"
+	"indigodrift/internal/numberfile"
+	"indigodrift/internal/numbers"
+	"indigodrift/internal/trunk"
+	"indigodrift/policy"
+)
+
+// Numbers is what a site says of number analysis; a site without it routes by the first digits.
+type Numbers struct {
+	Store   string // folder of versions
+	Table   string // rules to begin with when the store is empty
+	Trial   numbers.Trial
+	Callers int // callers whose share is remembered
+	Servers []string
+	Zone    string
+	Limits  numbers.Limits
+}
+
+// tables is a station's part in number analysis: files and queries, off the goroutine that owns the exchange.
+type tables struct {
+	s       *Station
+	store   *numberfile.Store
+	keep    chan numberfile.Record // into the history, in order
+	client  *enum.Client
+	asking  sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	loading sync.Mutex // one change at a time is read and kept
+}
+
+// openTables finds the version to begin with and gives the exchange its numbering.
+func (s *Station) openTables(n *Numbers, seed uint64) error {
+	t := &tables{s: s, keep: make(chan numberfile.Record, 64)}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	var err error
+	if t.store, err = numberfile.OpenStore(n.Store); err != nil {
+		return err
+	}
+	table, doubts, err := t.store.InForce(s.site.Exchanges)
+	if err != nil {
+		return err
+	}
+	for _, d := range doubts {
+		s.log.Warn("tables", "doubt", d)
+	}
+	if table == nil {
+		if table, err = t.first(n.Table); err != nil {
+			return err
+		}
+	}
+	s.log.Info("table in force", "version", table.Version, "name", table.Name, "prefixes", table.Prefixes())
+	x := &exchange.Numbering{Versions: numbers.NewVersions(table, n.Trial), Split: numbers.NewSplit(n.Callers),
+		Second: func(at policy.Tenths) int64 { return time.Now().Add(trunk.Span(at - s.clock.Now())).Unix() },
+		At: func(second int64) policy.Tenths {
+			return s.clock.Now() + policy.Tenths(time.Until(time.Unix(second, 0))/(100*time.Microsecond))
+		},
+		Changed: t.changed}
+	if len(n.Servers) == 2 {
+		t.client = &enum.Client{Servers: [2]string{n.Servers[0], n.Servers[1]}, Zone: n.Zone, Most: trunk.Span(n.Limits.TimeOut)}
+		if x.Inquirer, err = numbers.NewInquirer(n.Limits, seed, s.x.Asker(t.query)); err != nil {
+			return fmt.Errorf("portability: %w", err)
+		}
+	}
+	s.x.Number(x)
+	s.tables = t
+	return nil
+}
+
+func (t *tables) first(name string) (*numbers.Table, error) {
+	if name == "" {
+		return nil, errors.New("the store of tables is empty and no table is named to begin with")
+	}
+	src, table, err := t.read(name)
+	if err != nil {
+		return nil, err
+	}
+	return table, errors.Join(t.store.Keep(table.Version, src), t.store.Note(numberfile.Record{Version: table.Version, Name: table.Name,
+		At: time.Now(), What: "in force"}))
+}
+
+func (t *tables) read(name string) (numberfile.Source, *numbers.Table, error) {
+	src, err := numberfile.ReadSource(name)
+	if err != nil {
+		return src, nil, err
+	}
+	table, err := src.Table(t.s.site.Exchanges)
+	return src, table, err
+}
+
+// query asks about a number, on a goroutine of its own; the inquirer bounds how many are out.
+func (t *tables) query(id uint32, server int, number string) {
+	t.asking.Go(func() {
+		a, err := t.client.Ask(t.ctx, server, number)
+		if err != nil {
+			t.s.log.Debug("portability", "server", server, "why", err)
+		}
+		(*reader)(t.s).put(event{kind: evPort, port: a, id: id, err: err})
+	})
+}
+
+// changed is called by the exchange when another version comes into force.
+func (t *tables) changed(table *numbers.Table, why string) {
+	r := numberfile.Record{Version: table.Version, Name: table.Name, At: time.Now(), What: "in force", Why: why}
+	if why != "" {
+		r.What = "in force again"
+		t.s.log.Warn("table taken back", "version", table.Version, "why", why)
+	} else {
+		t.s.log.Info("table in force", "version", table.Version, "name", table.Name, "prefixes", table.Prefixes())
+	}
+	select {
+	case t.keep <- r:
+	default: // the disk has stood still for 64 changes
+		t.s.log.Error("table's change is not in the history", "version", r.Version)
+	}
+}
+
+// run writes the history until the station ends.
+func (t *tables) run(ctx context.Context) {
+	for {
+		select {
+		case r := <-t.keep:
+			if err := t.store.Note(r); err != nil {
+				t.s.log.Error("table's change is not in the history", "version", r.Version, "why", err)
+			}
+		case <-ctx.Done():
+			t.cancel()
+			t.asking.Wait()
+			return
+		}
+	}
+}
+
+// ErrNoNumbers is told where a site has no number analysis.
+var ErrNoNumbers = errors.New("this exchange has no table of numbers")
+
+// Load reads a table, keeps it, and has it come into force at an instant, or at once. A table that cannot be read, built or
+// kept changes nothing.
+func (s *Station) Load(name string, at time.Time) (*numbers.Table, error) {
+	t := s.tables
+	if t == nil {
+		return nil, ErrNoNumbers
+	}
+	t.loading.Lock()
+	defer t.loading.Unlock()
+	src, table, err := t.read(name)
+	if err != nil {
+		return nil, err
+	}
+	if have := s.versions(func(v *numbers.Versions) (uint64, error) { return v.Current().Version, nil }); have >= table.Version {
+		return nil, fmt.Errorf("version %d: %w (%d)", table.Version, numbers.ErrOld, have)
+	}
+	if err := t.store.Keep(table.Version, src); err != nil {
+		return nil, err
+	}
+	return table, s.change(func(n *exchange.Numbering, now policy.Tenths) error {
+		before := n.Versions.Current()
+		err := n.Versions.Load(table, at.Unix(), time.Now().Unix(), now)
+		if err == nil && n.Versions.Current() != before {
+			n.Changed(table, "")
+		}
+		return err
+	})
+}
+
+func (s *Station) versions(get func(*numbers.Versions) (uint64, error)) (got uint64) {
+	s.change(func(n *exchange.Numbering, _ policy.Tenths) (err error) {
+		got, err = get(n.Versions)
+		return err
+	})
+	return got
+}
+
+// Rollback returns to the version before.
+func (s *Station) Rollback(why string) (back *numbers.Table, err error) {
+	err = s.change(func(n *exchange.Numbering, now policy.Tenths) (err error) {
+		if back, err = n.Versions.Rollback(why, now); err == nil {
+			n.Changed(back, why)
+		}
+		return err
+	})
+	return back, err
+}
+
+// ErrEnded is told to an order that comes as the station ends.
+var ErrEnded = errors.New("the exchange is ending")
+
+// change does something to the numbering on the goroutine that owns it.
+func (s *Station) change(do func(n *exchange.Numbering, now policy.Tenths) error) error {
+	if s.tables == nil {
+		return ErrNoNumbers
+	}
+	var err error
+	if !s.Do(func() {
+		now := s.clock.Now()
+		s.x.Change(now, func(n *exchange.Numbering) { err = do(n, now) })
+	}) {
+		return ErrEnded
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"indigodrift/internal/exchange"
+	"indigodrift/policy"
+)
+
+// Order is one line of JSON that an operator's command sends to a running exchange.
+type Order struct {
+	Do   string `json:"do"` // load, rollback, versions
+	File string `json:"file,omitempty"`
+	At   int64  `json:"at,omitempty"` // seconds since 1970, 0 at once
+	Why  string `json:"why,omitempty"`
+}
+
+// Reply is the one line that answers it.
+type Reply struct {
+	Exchange int    `json:"exchange"`
+	Error    string `json:"error,omitempty"`
+	Version  uint64 `json:"version"` // in force once the order is done
+	Name     string `json:"name"`
+	Waiting  uint64 `json:"waiting,omitempty"`
+	At       int64  `json:"at,omitempty"`
+	Held     int    `json:"held"` // versions that calls go by
+}
+
+const orderMost = 1 << 16
+
+// takeOrders serves the control socket until ctx ends.
+func (s *Station) takeOrders(ctx context.Context, ln net.Listener) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		all.Go(func() {
+			defer c.Close()
+			stop := context.AfterFunc(ctx, func() { c.Close() })
+			defer stop()
+			in := bufio.NewScanner(c)
+			in.Buffer(nil, orderMost)
+			out := json.NewEncoder(c)
+			for in.Scan() {
+				var o Order
+				var r Reply
+				if err := json.Unmarshal(in.Bytes(), &o); err != nil {
+					r.Error = "order does not read: " + err.Error()
+				} else {
+					r = s.obey(o)
+				}
+				if out.Encode(r) != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+func (s *Station) obey(o Order) Reply {
+	var err error
+	switch o.Do {
+	case "load":
+		at := time.Now()
+		if o.At != 0 {
+			at = time.Unix(o.At, 0)
+		}
+		_, err = s.Load(o.File, at)
+	case "rollback":
+		why := o.Why
+		if why == "" {
+			why = "by order"
+		}
+		_, err = s.Rollback(why)
+	case "versions":
+	default:
+		err = fmt.Errorf("order %q is not known; there are load, rollback, versions", o.Do)
+	}
+	r := Reply{Exchange: s.site.Deployment.Own}
+	if asked := s.change(func(n *exchange.Numbering, _ policy.Tenths) error {
+		r.Version, r.Name, r.Held = n.Versions.Current().Version, n.Versions.Current().Name, n.Versions.Held()
+		if t, at := n.Versions.Waiting(); t != nil {
+			r.Waiting, r.At = t.Version, at
+		}
+		return nil
+	}); err == nil {
+		err = asked
+	}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+// Tell sends an order to a running exchange and returns its reply.
+func Tell(address string, o Order) (Reply, error) {
+	c, err := net.DialTimeout("tcp", address, 3*time.Second)
+	if err != nil {
+		return Reply{}, fmt.Errorf("order: %w", err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(5 * time.Minute)); err != nil { // ten million prefixes take a while to read
+		return Reply{}, fmt.Errorf("order: %w", err)
+	}
+	if err := json.NewEncoder(c).Encode(o); err != nil {
+		return Reply{}, fmt.Errorf("order: %w", err)
+	}
+	var r Reply
+	if err := json.NewDecoder(c).Decode(&r); err != nil {
+		return r, fmt.Errorf("reply of %s: %w", address, err)
+	}
+	return r, nil
+}
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -59,7 +59,7 @@
 		}
 		build = wrong.Deciding(build)
 	}
-	p.station = control.New(s, build, func(_ context.Context, name string) (net.Conn, error) {
+	p.station, err = control.New(s, build, func(_ context.Context, name string) (net.Conn, error) {
 		p.gate.Pass()
 		c, err := v.Dial(name)
 		if err != nil {
@@ -73,6 +73,9 @@
 		}
 		return c, nil
 	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, err
+	}
 	if wrong != nil {
 		p.station.Sent = wrong.Sent
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -4,12 +4,15 @@
 
 import (
 	"math"
+	"net/netip"
+	"strings"
 	"time"
 
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/control"
 	"indigodrift/internal/exchange"
 	"indigodrift/internal/hclread"
+	"indigodrift/internal/numbers"
 	"indigodrift/policy"
 )
 
@@ -44,6 +47,12 @@
 	s.Inbox = queues.Whole("inbox", 16, 1<<20, 8192)
 	s.LinkMost = queues.Whole("link_octets", 4096, 1<<30, 1<<20)
 	queues.Done()
+	if b.Has("control") {
+		s.Control = b.Address("control", true)
+	}
+	if all := b.Blocks("numbers", false); len(all) > 0 {
+		s.Numbers = numbering(b.Only("numbers", false))
+	}
 	d.Bearers = Bearers(b, nil)
 	seen := map[int]bool{}
 	for _, n := range b.Blocks("neighbour", true) {
@@ -105,3 +114,28 @@
 	}
 	return all
 }
+
+// numbering reads what a site says of number analysis.
+func numbering(b *hclread.Block) *control.Numbers {
+	n := &control.Numbers{Store: b.Text("store", true, ""), Table: b.Text("table", false, ""), Callers: b.Whole("callers", 1, 1<<24, 100000),
+		Trial: numbers.Trial{Window: b.Span("trial_window", 0, forever, time.Minute), Bound: b.Number("trial_bound", 0, 1, 0.2),
+			Least: b.Whole("trial_least", 1, 1<<30, 20)}}
+	p := b.Only("portability", false)
+	if n.Servers = p.Texts("servers"); len(n.Servers) != 0 && len(n.Servers) != 2 {
+		p.FaultAt("servers", "%d servers, two are needed (the same twice where there is one)", len(n.Servers))
+	}
+	for _, a := range n.Servers {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			p.FaultAt("servers", "%q is not an address with a port", a)
+		}
+	}
+	if n.Zone = p.Text("zone", false, "e164.arpa."); !strings.HasSuffix(n.Zone, ".") {
+		n.Zone += "."
+	}
+	n.Limits = numbers.Limits{Known: p.Whole("known", 1, 1<<26, 100000), Unknown: p.Whole("unknown", 1, 1<<26, 10000),
+		Age: p.Span("age", time.Second, forever, time.Hour), Out: p.Whole("out", 1, 1<<16, 256),
+		TimeOut: p.Span("time_out", time.Millisecond, time.Minute, time.Second), RetryShare: p.Number("retry_share", 0, 1, 0.1)}
+	p.Done()
+	b.Done()
+	return n
+}
