--- a/cmd/indigodrift/day.go
+++ b/cmd/indigodrift/day.go
@@ -45,7 +45,7 @@
 			if err := rep.Print(os.Stdout, onlyJSON); err != nil {
 				return err
 			}
-			if len(rep.Breaches) > 0 {
+			if len(rep.Breaches)+rep.Mixed > 0 {
 				return exit(1)
 			}
 			return nil
--- a/internal/day/file.go
+++ b/internal/day/file.go
@@ -52,6 +52,7 @@
 	Deployment  policy.Deployment
 	Bearers     []Bearer
 	Troubles    []Trouble
+	Tables      bool // destinations are found by tables of numbers, that troubles may change
 }
 
 const longest = 24 * time.Hour
@@ -82,6 +83,7 @@
 	s.Spare = b.Number("spare", 0, 10, 0.2)
 	s.Uneven = b.Number("uneven", 0, 3, 0.4)
 	s.ProcessorAt = b.Number("processors_at", 0.01, 1, 0.75)
+	s.Tables = b.Flag("tables", false)
 	site.Rules(b, &s.Deployment)
 	s.ListLate = span(b.Span("list_late", 0, time.Minute, time.Second))
 	s.ListEvery = span(b.Span("list_every", 10*time.Millisecond, time.Minute, 200*time.Millisecond))
@@ -111,6 +113,8 @@
 		switch {
 		case !ok:
 			n.Fault("trouble %q is not known; there are %v", t.Kind, Kinds())
+		case t.Kind == "tables_change" && !s.Tables:
+			n.Fault("tables cannot change in a day without tables = true")
 		case t.Start > s.Length:
 			n.FaultAt("start", "the trouble starts after the day's %v", s.Length)
 		case t.Size < kind.least || t.Size > kind.most:
--- a/internal/day/process.go
+++ b/internal/day/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,9 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"indigodrift/internal/control"
+	"indigodrift/internal/site"
 )
 
 // OnLoopback has a day's controllers run as processes of a program, and everybody talk over loopback TCP.
@@ -31,6 +35,7 @@
 // process is a controller as a process of its own.
 type process struct {
 	cmd         *exec.Cmd
+	control     string
 	ready, done chan struct{}
 }
 
@@ -48,7 +53,11 @@
 	if plant != "" {
 		args = append(args, "--plant", plant)
 	}
-	p := &process{cmd: exec.Command(program, args...), ready: make(chan struct{}), done: make(chan struct{})}
+	s, err := site.Read(siteFile)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{control: s.Control, cmd: exec.Command(program, args...), ready: make(chan struct{}), done: make(chan struct{})}
 	p.cmd.Stderr = out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives the day, however it ends
 	pipe, err := p.cmd.StdoutPipe()
@@ -79,6 +88,15 @@
 func (p *process) Stop()  { p.cmd.Process.Signal(syscall.SIGSTOP) }
 func (p *process) GoOn()  { p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Load has the process take a table.
+func (p *process) Load(table string) error {
+	r, err := control.Tell(p.control, control.Order{Do: "load", File: table})
+	if err == nil && r.Error != "" {
+		err = errors.New(r.Error)
+	}
+	return err
+}
+
 // Used is what the process took.
 func (p *process) Used() (time.Duration, int64) {
 	kilobytes := int64(0)
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -52,6 +52,8 @@
 	Breaches []audit.Breach
 	CPU      time.Duration // all controllers together
 	Memory   int64         // the most that one held, kilobytes
+	Versions int           // of tables, that tries were seen to go by
+	Mixed    int           // calls that went by two of them, or otherwise than theirs says
 	DialLate time.Duration // the worst that the subscribers were behind their own schedule
 }
 
@@ -94,6 +96,9 @@
 		if r.DialLate > 20*time.Millisecond {
 			fmt.Fprintf(w, "the subscribers dialled up to %v behind their schedule: this machine is too small for the day\n", r.DialLate)
 		}
+		if r.Versions > 0 {
+			fmt.Fprintf(w, "tables: tries went by %d versions, %d calls by two at once\n", r.Versions, r.Mixed)
+		}
 		if len(r.Breaches) == 0 {
 			fmt.Fprintln(w, "rules: none broken")
 		}
@@ -106,7 +111,7 @@
 		}
 	}
 	line, err := json.Marshal(map[string]any{"offered": r.All.Offered, "stood": r.All.Stood, "late": r.All.Late, "refused": r.All.Refused,
-		"failed": r.All.Failed, "cut": r.All.Cut, "broken": len(r.Breaches), "service": round(r.All.Service),
+		"failed": r.All.Failed, "cut": r.All.Cut, "broken": len(r.Breaches), "mixed": r.Mixed, "service": round(r.All.Service),
 		"tries": r.Tries, "cpu_ms": r.CPU.Milliseconds(), "dial_late_ms": r.DialLate.Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -22,7 +22,8 @@
 	Done() <-chan struct{}
 	Kill()
 	Drain()
-	Stop() // stands still until GoOn
+	Load(table string) error // has it take a table of numbers at once
+	Stop()                   // stands still until GoOn
 	GoOn()
 	Used() (processor time.Duration, kilobytes int64) // once done
 }
@@ -51,6 +52,8 @@
 	registerAt  string
 	subscribers *standin.Subscribers
 	controllers []*controller
+	controls    []string // addresses that take orders, where there are tables
+	tables      int      // versions made so far
 	ctx         context.Context
 	all         sync.WaitGroup
 	mu          sync.Mutex
@@ -85,34 +88,35 @@
 	if err != nil {
 		return Report{}, err
 	}
-	breaches, tries, err := judgeFile(name)
+	events, err := readLog(name)
 	if err != nil {
 		return Report{}, err
 	}
 	rep := count(s, r.plan.callers)
-	rep.Tries, rep.Breaches = tries, breaches
+	rep.Breaches = audit.Judge(events)
+	for _, e := range events {
+		if e.Kind == audit.Try {
+			rep.Tries++
+		}
+	}
+	if s.Tables {
+		rep.Versions, rep.Mixed = judgeTables(events, s.Exchanges)
+	}
 	rep.CPU, rep.Memory, rep.DialLate = r.cpu, r.memory, r.subscribers.Late()
 	return rep, nil
 }
 
-// judgeFile audits a log and counts its route tries.
-func judgeFile(name string) ([]audit.Breach, int, error) {
+func readLog(name string) ([]audit.Event, error) {
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, 0, fmt.Errorf("audit log: %w", err)
+		return nil, fmt.Errorf("audit log: %w", err)
 	}
 	defer f.Close()
 	events, err := audit.Read(f)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%s: %w", name, err)
-	}
-	tries := 0
-	for _, e := range events {
-		if e.Kind == audit.Try {
-			tries++
-		}
+		return nil, fmt.Errorf("%s: %w", name, err)
 	}
-	return audit.Judge(events), tries, nil
+	return events, nil
 }
 
 func (r *run) play() error {
@@ -146,6 +150,18 @@
 	r.subscribers = standin.NewSubscribers(r.script.Exchanges, r.plan.callers, r.script.Habits, r.script.Seed, func(e int) (net.Conn, error) {
 		return r.opts.Dial(r.addresses[e])
 	})
+	if r.script.Tables {
+		if err := r.makeTable(); err != nil {
+			return err
+		}
+		for range r.script.Exchanges {
+			at, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			r.controls = append(r.controls, at)
+		}
+	}
 	for i := range r.script.Exchanges {
 		r.controllers = append(r.controllers, &controller{no: i, run: r})
 		if err := r.startController(i); err != nil {
--- a/internal/day/sitefile.go
+++ b/internal/day/sitefile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 
 	"github.com/hashicorp/hcl/v2/hclwrite"
 	"github.com/zclconf/go-cty/cty"
@@ -28,6 +29,12 @@
 	during(b, "come_back_most", d.ComeBackMost)
 	during(b, "drain_grace", d.DrainGrace)
 	b.SetAttributeValue("cancels", cty.BoolVal(d.CancelsAllowed))
+	if r.script.Tables {
+		text(b, "control", r.controls[e])
+		n := b.AppendNewBlock("numbers", nil).Body()
+		text(n, "store", filepath.Join(r.dir, fmt.Sprintf("tables-%d", e)))
+		text(n, "table", r.tableFile(1))
+	}
 	cold := b.AppendNewBlock("cold", nil).Body()
 	number(cold, "from", d.ColdFrom)
 	during(cold, "ramp", d.RampTime)
--- /dev/null
+++ b/internal/day/tables.go
@@ -0,0 +1,85 @@
+package day
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"indigodrift/internal/audit"
+	"indigodrift/internal/isup"
+)
+
+// A day with tables leads numbers that begin with the three digits of n to exchange n plus the version, counted round: so
+// that every version sends every number elsewhere, and a call routed by two of them shows.
+
+func (r *run) tableFile(version int) string {
+	return filepath.Join(r.dir, fmt.Sprintf("table-%d.hcl", version))
+}
+
+// makeTable writes the next version.
+func (r *run) makeTable() error {
+	r.tables++
+	var b strings.Builder
+	fmt.Fprintf(&b, "name    = \"day\"\nversion = %d\ndialling {\n  international = \"\"\n}\n", r.tables)
+	for n := range r.script.Exchanges {
+		fmt.Fprintf(&b, "\nroute \"from-%d\" {\n  least    = 9\n  most     = 9\n  prefixes = [\"%03d\"]\n  choice {\n    to \"%d\" {}\n  }\n}\n", n, n, (n+r.tables)%r.script.Exchanges)
+	}
+	if err := os.WriteFile(r.tableFile(r.tables), []byte(b.String()), 0o644); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	return nil
+}
+
+// tablesChange has all exchanges take one new table after the other, every so often.
+func tablesChange(r *run, t Trouble, _ []int, _ *rand.Rand) func() {
+	r.all.Go(func() {
+		for at := time.Duration(0); at < t.Length && r.sleep(t.Every); at += t.Every {
+			if err := r.makeTable(); err != nil {
+				fmt.Fprintln(r.opts.Progress, err)
+				return
+			}
+			name := r.tableFile(r.tables)
+			for _, c := range r.controllers {
+				r.all.Go(func() { c.program().Load(name) }) // one that is down or stopped keeps its own: calls tell by what they went
+			}
+		}
+	})
+	return nil
+}
+
+// judgeTables checks, from what switches saw, that every call goes by one whole version: all its tries by the same, each
+// to where that version leads the number dialled. It returns the versions seen and the calls that mixed two.
+func judgeTables(events []audit.Event, exchanges int) (versions, mixed int) {
+	dialled, by, seen := map[isup.Reference]uint32{}, map[isup.Reference]int64{}, map[int64]bool{}
+	bad := map[isup.Reference]bool{}
+	for _, e := range events {
+		switch e.Kind {
+		case audit.Offer:
+			dialled[e.Ref] = e.Slots
+		case audit.Try:
+			version, dest := e.Value>>16, e.Value&0xffff
+			n, ok := dialled[e.Ref]
+			if !ok {
+				continue
+			}
+			if was, again := by[e.Ref]; again && was != version || dest != (int64(n)+version)%int64(exchanges) {
+				bad[e.Ref] = true
+			}
+			by[e.Ref], seen[version] = version, true
+		}
+	}
+	return len(seen), len(bad)
+}
+
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("address for orders: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -39,6 +39,7 @@
 		"controllers_roll":  {0, 1000, "seconds until each is started again", nil, controllersRoll},
 		"drain":             {0, 1000, "seconds between drain and restart", nil, drain},
 		"ageing":            {1, 1000, "times slower at the end, then dead for a second", nil, ageing},
+		"tables_change":     {0, 1e6, "not used", nil, tablesChange},
 		"mass_restart":      {0, 1000, "seconds that switches are gone", nil, massRestart},
 	}
 }
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Control = "" // orders come by call here
 	p := &inside{ready: make(chan struct{}), done: make(chan struct{}), gate: &memnet.Gate{}}
 	build := control.Build(func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 		return policy.New(d, x, now)
@@ -93,6 +94,10 @@
 func (p *inside) Done() <-chan struct{}        { return p.done }
 func (p *inside) Drain()                       { p.drain() }
 func (p *inside) Used() (time.Duration, int64) { return 0, 0 }
+func (p *inside) Load(table string) error {
+	_, err := p.station.Load(table, time.Now())
+	return err
+}
 func (p *inside) Kill() {
 	p.mu.Lock()
 	p.killed = true
@@ -183,6 +188,22 @@
 	}
 }
 
+// A thousand tables, one every 20 ms, each leading every number elsewhere than the one before, under load: no call is routed
+// by two of them, nor otherwise than its own says, and the rules hold.
+func TestThousandTablesUnderLoadAndNoCallMixesTwo(t *testing.T) {
+	rep := virtual(t, "quiet.hcl", func(s *Script) {
+		s.Tables, s.Length = true, 21*time.Second
+		s.Troubles = []Trouble{{Kind: "tables_change", Start: 200 * time.Millisecond, Length: 20 * time.Second, Every: 20 * time.Millisecond},
+			{Kind: "slow", Start: 5 * time.Second, Length: 5 * time.Second, Part: 0.5, Size: 3},
+			{Kind: "links_reset", Start: 8 * time.Second, Part: 1, Size: 1},
+			{Kind: "controllers_kill", Start: 12 * time.Second, Part: 0.25, Size: 1}}
+	})
+	rulesHold(t, rep, 0.2)
+	if rep.Mixed > 0 || rep.Versions < 200 {
+		t.Fatalf("%d calls went by two tables; %d tables were seen in use", rep.Mixed, rep.Versions)
+	}
+}
+
 // A controller that breaks one rule on its sockets is found by the audit, by that rule; the same day without it is clean.
 func TestPlantedBreaksAreFound(t *testing.T) {
 	rulesHold(t, virtual(t, "plant.hcl", func(*Script) {}), 0.3)
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -406,7 +407,8 @@
 		arrived := time.Now()
 		switch m.Type {
 		case isup.IAM:
-			s.log.Add(audit.Event{Kind: audit.Try, Site: s.Number, Peer: far, Ref: m.Ref, CIC: m.CIC, Slots: m.Slots})
+			s.log.Add(audit.Event{Kind: audit.Try, Site: s.Number, Peer: far, Ref: m.Ref, CIC: m.CIC, Slots: m.Slots,
+				Value: int64(m.Says.Table)<<16 | int64(m.Says.Dest)})
 			if s.tips() {
 				return
 			}
@@ -533,7 +535,8 @@
 		switch {
 		case m.Type == isup.IAM && p != nil:
 			s.lines[m.CIC] = m.Ref
-			s.log.Add(audit.Event{Kind: audit.Offer, Site: s.Number, Ref: m.Ref, Value: int64(m.Says.Left) * 100})
+			dialled, _ := strconv.Atoi(m.Digits[:min(3, len(m.Digits))])
+			s.log.Add(audit.Event{Kind: audit.Offer, Site: s.Number, Ref: m.Ref, Slots: uint32(dialled), Value: int64(m.Says.Left) * 100})
 		case m.Type == isup.REL:
 			s.log.Add(audit.Event{Kind: audit.Leave, Site: s.Number, Ref: s.lines[m.CIC]})
 		}
