--- /dev/null
+++ b/internal/numbers/bench_test.go
@@ -0,0 +1,130 @@
+package numbers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"testing"
+	"time"
+)
+
+// plan makes prefixes as a country's plan has them: of 5 to 9 digits, under a country code, spread over all digits.
+func plan(n int) []Prefix {
+	chance := rand.New(rand.NewPCG(7, uint64(n)))
+	seen := make(map[string]bool, n)
+	all := make([]Prefix, 0, n)
+	for len(all) < n {
+		length := 5 + chance.IntN(4)
+		if n > 100000 {
+			length += 2
+		}
+		d := []byte("371")
+		for range length {
+			d = append(d, byte('0'+chance.IntN(10)))
+		}
+		if !seen[string(d)] {
+			seen[string(d)] = true
+			all = append(all, Prefix{string(d), uint32(chance.IntN(1000))})
+		}
+	}
+	return all
+}
+
+// finder is one way of search: the trie, or a baseline of ours.
+type finder struct {
+	name string
+	make func(all []Prefix) func(digits string) (uint32, bool)
+}
+
+var finders = []finder{
+	{"trie", func(all []Prefix) func(string) (uint32, bool) {
+		t, err := NewTrie(all)
+		if err != nil {
+			panic(err)
+		}
+		return func(d string) (uint32, bool) { e, _, ok := t.Find(d); return e, ok }
+	}},
+	{"map-by-length", func(all []Prefix) func(string) (uint32, bool) {
+		var by [DigitsMost + 1]map[string]uint32
+		for _, p := range all {
+			if by[len(p.Digits)] == nil {
+				by[len(p.Digits)] = map[string]uint32{}
+			}
+			by[len(p.Digits)][p.Digits] = p.Entry
+		}
+		return func(d string) (uint32, bool) {
+			for n := min(len(d), DigitsMost); n >= 0; n-- {
+				if e, ok := by[n][d[:n]]; ok {
+					return e, true
+				}
+			}
+			return 0, false
+		}
+	}},
+	{"sorted-search", func(all []Prefix) func(string) (uint32, bool) {
+		sorted := append([]Prefix{}, all...)
+		sort.Slice(sorted, func(i, j int) bool { return sorted[i].Digits < sorted[j].Digits })
+		return func(d string) (uint32, bool) {
+			for n := len(d); n >= 0; n-- {
+				i := sort.Search(len(sorted), func(i int) bool { return sorted[i].Digits >= d[:n] })
+				if i < len(sorted) && sorted[i].Digits == d[:n] {
+					return sorted[i].Entry, true
+				}
+			}
+			return 0, false
+		}
+	}},
+}
+
+// BenchmarkFind is one search, the memory of each prefix and the time to build, for three sizes and three ways.
+func BenchmarkFind(b *testing.B) {
+	for _, n := range []int{10_000, 1_000_000, 10_000_000} {
+		if testing.Short() && n > 1_000_000 {
+			continue
+		}
+		all := plan(n)
+		chance := rand.New(rand.NewPCG(9, 9))
+		dialled := make([]string, 4096)
+		for i := range dialled {
+			dialled[i] = all[chance.IntN(n)].Digits + "12"
+		}
+		for _, f := range finders {
+			b.Run(fmt.Sprintf("%s-%d", f.name, n), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				from := time.Now()
+				find := f.make(all)
+				built := time.Since(from)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				i, missed := 0, 0
+				b.ResetTimer()
+				for b.Loop() {
+					if _, ok := find(dialled[i&4095]); !ok {
+						missed++
+					}
+					i++
+				}
+				if missed > 0 {
+					b.Fatalf("%d searches found nothing", missed)
+				}
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/prefix")
+				b.ReportMetric(built.Seconds(), "build-s")
+				runtime.KeepAlive(all)
+			})
+		}
+	}
+}
+
+// BenchmarkSwitch is what the owner of a table does when a version comes into force: one pointer, whatever its size.
+func BenchmarkSwitch(b *testing.B) {
+	v := NewVersions(&Table{Version: 1}, Trial{})
+	for n := uint64(2); b.Loop(); n++ {
+		v.Pin()
+		if err := v.Load(&Table{Version: n}, 0, 0, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
