--- a/internal/day/file.go
+++ b/internal/day/file.go
@@ -52,7 +52,8 @@
 	Deployment  policy.Deployment
 	Bearers     []Bearer
 	Troubles    []Trouble
-	Tables      bool // destinations are found by tables of numbers, that troubles may change
+	Ported      float64 // share of callers' numbers that were ported, asked for by ENUM; 0: not asked for
+	Tables      bool    // destinations are found by tables of numbers, that troubles may change
 }
 
 const longest = 24 * time.Hour
@@ -84,6 +85,9 @@
 	s.Uneven = b.Number("uneven", 0, 3, 0.4)
 	s.ProcessorAt = b.Number("processors_at", 0.01, 1, 0.75)
 	s.Tables = b.Flag("tables", false)
+	if s.Ported = b.Number("ported", 0, 1, 0); s.Ported > 0 && !s.Tables {
+		b.FaultAt("ported", "numbers cannot be ported in a day without tables = true")
+	}
 	site.Rules(b, &s.Deployment)
 	s.ListLate = span(b.Span("list_late", 0, time.Minute, time.Second))
 	s.ListEvery = span(b.Span("list_every", 10*time.Millisecond, time.Minute, 200*time.Millisecond))
@@ -113,6 +117,8 @@
 		switch {
 		case !ok:
 			n.Fault("trouble %q is not known; there are %v", t.Kind, Kinds())
+		case t.Kind == "portability" && s.Ported == 0:
+			n.Fault("portability cannot be troubled in a day without ported numbers")
 		case t.Kind == "tables_change" && !s.Tables:
 			n.Fault("tables cannot change in a day without tables = true")
 		case t.Start > s.Length:
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -54,6 +54,7 @@
 	Memory   int64         // the most that one held, kilobytes
 	Versions int           // of tables, that tries were seen to go by
 	Mixed    int           // calls that went by two of them, or otherwise than theirs says
+	Asked    int           // portability queries
 	DialLate time.Duration // the worst that the subscribers were behind their own schedule
 }
 
@@ -96,6 +97,9 @@
 		if r.DialLate > 20*time.Millisecond {
 			fmt.Fprintf(w, "the subscribers dialled up to %v behind their schedule: this machine is too small for the day\n", r.DialLate)
 		}
+		if r.Asked > 0 {
+			fmt.Fprintf(w, "portability: %.2f queries a call\n", float64(r.Asked)/float64(offered))
+		}
 		if r.Versions > 0 {
 			fmt.Fprintf(w, "tables: tries went by %d versions, %d calls by two at once\n", r.Versions, r.Mixed)
 		}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -54,6 +54,7 @@
 	controllers []*controller
 	controls    []string // addresses that take orders, where there are tables
 	tables      int      // versions made so far
+	ported      *standin.Ported
 	ctx         context.Context
 	all         sync.WaitGroup
 	mu          sync.Mutex
@@ -99,9 +100,12 @@
 			rep.Tries++
 		}
 	}
-	if s.Tables {
+	if s.Tables && s.Ported == 0 { // a ported number goes elsewhere than its own digits say
 		rep.Versions, rep.Mixed = judgeTables(events, s.Exchanges)
 	}
+	if r.ported != nil {
+		rep.Asked = r.ported.Asked()
+	}
 	rep.CPU, rep.Memory, rep.DialLate = r.cpu, r.memory, r.subscribers.Late()
 	return rep, nil
 }
@@ -154,6 +158,11 @@
 		if err := r.makeTable(); err != nil {
 			return err
 		}
+		if r.script.Ported > 0 {
+			if err := r.startPorted(); err != nil {
+				return err
+			}
+		}
 		for range r.script.Exchanges {
 			at, err := freeAddress()
 			if err != nil {
@@ -247,6 +256,9 @@
 	if r.register != nil {
 		r.register.Stop()
 	}
+	if r.ported != nil {
+		r.ported.Stop()
+	}
 	for _, s := range r.switches {
 		s.Stop()
 	}
--- a/internal/day/sitefile.go
+++ b/internal/day/sitefile.go
@@ -34,6 +34,11 @@
 		n := b.AppendNewBlock("numbers", nil).Body()
 		text(n, "store", filepath.Join(r.dir, fmt.Sprintf("tables-%d", e)))
 		text(n, "table", r.tableFile(1))
+		if r.ported != nil {
+			p := n.AppendNewBlock("portability", nil).Body()
+			p.SetAttributeValue("servers", cty.ListVal([]cty.Value{cty.StringVal(r.ported.At), cty.StringVal(r.ported.At)}))
+			text(p, "zone", enumZone)
+		}
 	}
 	cold := b.AppendNewBlock("cold", nil).Body()
 	number(cold, "from", d.ColdFrom)
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -39,6 +39,7 @@
 		"controllers_roll":  {0, 1000, "seconds until each is started again", nil, controllersRoll},
 		"drain":             {0, 1000, "seconds between drain and restart", nil, drain},
 		"ageing":            {1, 1000, "times slower at the end, then dead for a second", nil, ageing},
+		"portability":       {0, 60, "seconds late", []string{"late", "silent", "truncated", "wrong", "contradictory", "other"}, portability},
 		"tables_change":     {0, 1e6, "not used", nil, tablesChange},
 		"mass_restart":      {0, 1000, "seconds that switches are gone", nil, massRestart},
 	}
@@ -137,6 +138,15 @@
 	return func() { r.subscribers.LeaveEarly(0) }
 }
 
+func portability(r *run, t Trouble, _ []int, _ *rand.Rand) func() {
+	how, late := t.How, time.Duration(0)
+	if how == "late" {
+		how, late = "", seconds(t.Size)
+	}
+	r.ported.Set(how, late)
+	return func() { r.ported.Set("", 0) }
+}
+
 func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 
 func controllersKill(r *run, t Trouble, in []int, _ *rand.Rand) func() {
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -168,6 +168,9 @@
 	sizes := map[string]float64{"slow": 4, "other_work": 0.7, "circuits_lost": 0.5, "answers_lost": 0.3, "chopped": 1, "load_jump": 2,
 		"hot_caller": 4, "ageing": 6, "mass_cut": 0.6, "leave_early": 0.4, "links_reset": 0.7}
 	for _, kind := range Kinds() {
+		if kind == "portability" || kind == "tables_change" { // need tables, and the first sockets: days of their own
+			continue
+		}
 		hows := kinds[kind].how
 		if len(hows) == 0 {
 			hows = []string{""}
--- a/internal/numbers/trie.go
+++ b/internal/numbers/trie.go
@@ -20,20 +20,25 @@
 }
 
 // Trie finds the longest prefix of a number. Its nodes stand in one array, the children of a node side by side, found by
-// counting the bits below the digit's: about a node for each prefix where ranges are dense, no pointer for the collector
-// to follow, and one step for each digit whatever the number of prefixes. It never changes once built.
+// counting the bits below the digit's, with no pointer for the collector to follow. Digits that lead to one node alone are
+// kept in it and compared there: in a sparse plan most prefixes part after a few digits, and without that each digit to the
+// end was a step into memory not read before. It never changes once built.
 type Trie struct {
 	nodes []node
 	size  int
 }
 
-// node has a bit for each digit that leads on.
+// node stands behind some digits that are passed together, and has a bit for each digit that leads on.
 type node struct {
-	first uint32 // index of the child of the lowest digit
-	entry uint32 // 1 more than the entry of the prefix that ends here, 0 none
-	next  uint16
+	first  uint32 // index of the child of the lowest digit
+	entry  uint32 // 1 more than the entry of the prefix that ends here, 0 none
+	passed uint32 // digits before this node, four bits each, the first lowest
+	next   uint16
+	count  uint8 // of the digits passed
 }
 
+const passedMost = 8
+
 func symbol(c byte) (uint, bool) {
 	switch {
 	case c >= '0' && c <= '9':
@@ -64,18 +69,26 @@
 	t := &Trie{nodes: make([]node, 1, len(all)+1), size: len(all)}
 	type span struct {
 		node     uint32
+		depth    int
 		from, to int
 	}
-	level := []span{{0, 0, len(all)}}
-	for depth := 0; len(level) > 0; depth++ { // one digit of all prefixes after the other: children come to stand side by side
+	for level := []span{{0, 0, 0, len(all)}}; len(level) > 0; { // a node's children are made together, and so stand side by side
 		var below []span
 		for _, s := range level {
-			from := s.from
+			n, from, depth := &t.nodes[s.node], s.from, s.depth
+			for from < s.to && n.count < passedMost && len(all[from].Digits) > depth && // sorted: what first and last share, all do
+				len(all[s.to-1].Digits) > depth && all[from].Digits[depth] == all[s.to-1].Digits[depth] {
+				d, _ := symbol(all[from].Digits[depth])
+				n.passed |= uint32(d) << (4 * n.count)
+				n.count++
+				depth++
+			}
 			for from < s.to && len(all[from].Digits) == depth {
-				t.nodes[s.node].entry = all[from].Entry + 1
+				n.entry = all[from].Entry + 1
 				from++
 			}
-			t.nodes[s.node].first = uint32(len(t.nodes))
+			n.first = uint32(len(t.nodes))
+			next := uint16(0)
 			for from < s.to {
 				c := all[from].Digits[depth]
 				to := from + 1
@@ -83,21 +96,33 @@
 					to++
 				}
 				d, _ := symbol(c)
-				t.nodes[s.node].next |= 1 << d
-				below = append(below, span{uint32(len(t.nodes)), from, to})
+				next |= 1 << d
+				below = append(below, span{uint32(len(t.nodes)), depth + 1, from, to})
 				t.nodes = append(t.nodes, node{})
 				from = to
 			}
+			t.nodes[s.node].next = next // n may point to where the nodes were
 		}
 		level = below
 	}
+	t.nodes = slices.Clip(t.nodes)
 	return t, nil
 }
 
 // Find returns the entry of the longest prefix of a number and how many digits it has; false when none fits.
 func (t *Trie) Find(digits string) (entry uint32, length int, ok bool) {
-	n := t.nodes[0]
+	n := &t.nodes[0]
 	for i := 0; ; i++ {
+		for passed, count := n.passed, n.count; count > 0; count-- {
+			if i == len(digits) {
+				return entry, length, ok
+			}
+			if d, is := symbol(digits[i]); !is || uint32(d) != passed&15 {
+				return entry, length, ok
+			}
+			passed >>= 4
+			i++
+		}
 		if n.entry != 0 {
 			entry, length, ok = n.entry-1, i, true
 		}
@@ -108,19 +133,23 @@
 		if !is || n.next&(1<<d) == 0 {
 			return entry, length, ok
 		}
-		n = t.nodes[n.first+uint32(bits.OnesCount16(n.next&(1<<d-1)))]
+		n = &t.nodes[n.first+uint32(bits.OnesCount16(n.next&(1<<d-1)))]
 	}
 }
 
 // Len is the number of prefixes, Octets the memory that they take.
 func (t *Trie) Len() int    { return t.size }
-func (t *Trie) Octets() int { return len(t.nodes) * 12 }
+func (t *Trie) Octets() int { return len(t.nodes) * 16 }
 
 // Walk calls for each prefix in rising order until told to stop.
 func (t *Trie) Walk(each func(digits string, entry uint32) bool) {
-	var path [DigitsMost]byte
+	var path [DigitsMost + 1]byte
 	var down func(n node, depth int) bool
 	down = func(n node, depth int) bool {
+		for k := range n.count {
+			path[depth] = symbols[n.passed>>(4*k)&15]
+			depth++
+		}
 		if n.entry != 0 && !each(string(path[:depth]), n.entry-1) {
 			return false
 		}
