--- a/cmd/indigodrift/numbers.go
+++ b/cmd/indigodrift/numbers.go
@@ -119,17 +119,15 @@
 		c.Flags().StringVar(&at, "at", "", "instant, now if absent")
 	}
 	tell := func(o control.Order) error {
-		r, err := control.Tell(address, o)
-		if err != nil {
-			return err
-		}
-		fmt.Printf("exchange %d: version %d %q in force, %d held", r.Exchange, r.Version, r.Name, r.Held)
-		if r.Waiting != 0 {
-			fmt.Printf(", version %d waits for %s", r.Waiting, time.Unix(r.At, 0).Format(time.RFC3339))
+		failed := 0
+		for _, a := range strings.Split(address, ",") { // each exchange says for itself whether it could
+			if err := tellOne(a, o); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				failed++
+			}
 		}
-		fmt.Println()
-		if r.Error != "" {
-			return fmt.Errorf("exchange %d: %s", r.Exchange, r.Error)
+		if failed > 0 {
+			return exit(2)
 		}
 		return nil
 	}
@@ -156,12 +154,29 @@
 	versions := &cobra.Command{Use: "versions", Short: "Show the table in force at a running exchange", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return tell(control.Order{Do: "versions"}) }}
 	for _, c := range []*cobra.Command{load, rollback, versions} {
-		c.Flags().StringVar(&address, "control", "127.0.0.1:7900", "control socket of the exchange")
+		c.Flags().StringVar(&address, "control", "127.0.0.1:7900", "control sockets of the exchanges, comma-separated")
 	}
 	c.AddCommand(check, build, diff, explain, load, rollback, versions)
 	return c
 }
 
+// tellOne sends an order to one exchange and prints what is in force there.
+func tellOne(address string, o control.Order) error {
+	r, err := control.Tell(address, o)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("exchange %d: version %d %q in force, %d held", r.Exchange, r.Version, r.Name, r.Held)
+	if r.Waiting != 0 {
+		fmt.Printf(", version %d waits for %s", r.Waiting, time.Unix(r.At, 0).Format(time.RFC3339))
+	}
+	fmt.Println()
+	if r.Error != "" {
+		return fmt.Errorf("exchange %d: %s", r.Exchange, r.Error)
+	}
+	return nil
+}
+
 // traffic is the numbers to compare two tables by: recorded ones, or some drawn under the prefixes of both.
 func traffic(file string, count int, seed uint64, tables ...*numbers.Table) ([]string, error) {
 	var all []string
