Tables: a change at a time rule's instant, kills while loading, figures of all of it

A process killed at twelve points of reading, keeping and switching came back with a whole version each time.

--- a/cmd/indigodrift/main_test.go
+++ b/cmd/indigodrift/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -9,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"indigodrift/internal/control"
 )
 
 // TestMain lets the test binary be the program: a day starts its controllers from it.
@@ -178,3 +182,62 @@
 		t.Fatalf("%v: %s", err, log)
 	}
 }
+
+// A process killed at any point while it reads, keeps or switches tables comes back with a whole version, never older than
+// the last it confirmed before.
+func TestKillsDuringTableChanges(t *testing.T) {
+	dir := t.TempDir()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := ln.Addr().String()
+	ln.Close()
+	table := func(version uint64) string {
+		name := filepath.Join(dir, fmt.Sprintf("v%d.hcl", version))
+		text := fmt.Sprintf("version = %d\nroute \"all\" {\n  prefixes = [\"1\"]\n  choice {\n    to \"1\" {}\n  }\n}\n", version)
+		if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return name
+	}
+	file := write(t, "site.hcl", fmt.Sprintf("exchanges = 2\nexchange = 0\nown_switch = \"127.0.0.1:1\"\nregister = \"127.0.0.1:2\"\ncontrol = %q\n"+
+		"numbers {\n  store = %q\n  table = %q\n}\n", at, filepath.Join(dir, "store"), table(1))+
+		"bearer \"a\" {\n  revenue    = 1\n  gos_target = \"1s\"\n  abandon    = \"9s\"\n}\n")
+	confirmed, next := uint64(1), uint64(2)
+	for life := range 12 {
+		c := program("serve", "-f", file)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var r control.Reply
+		for range 200 {
+			if r, err = control.Tell(at, control.Order{Do: "versions"}); err == nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if err != nil || r.Version < confirmed {
+			c.Process.Kill()
+			t.Fatalf("life %d: version %d, %v; %d was confirmed", life, r.Version, err, confirmed)
+		}
+		next = max(next, r.Version+1)
+		kill := time.AfterFunc(time.Duration(5+life*7)*time.Millisecond, func() { c.Process.Kill() })
+		for {
+			r, err := control.Tell(at, control.Order{Do: "load", File: table(next)})
+			if err != nil {
+				break
+			}
+			if r.Error == "" {
+				confirmed = max(confirmed, r.Version-1) // its line of the history may still be on its way
+			}
+			next++
+		}
+		kill.Stop()
+		c.Process.Kill()
+		c.Wait()
+	}
+	if confirmed < 5 {
+		t.Fatalf("%d versions were confirmed in twelve lives", confirmed)
+	}
+}
--- a/examples/days/tables.hcl
+++ b/examples/days/tables.hcl
@@ -1,5 +1,5 @@
 about            = "the bad day's troubles with a new table of numbers every 60 ms"
-length           = "40s"
+length           = "64s"
 seed             = 1
 exchanges        = 6
 calls_per_second = 70
@@ -27,7 +27,7 @@
 
 trouble "tables_change" {
   start  = "1s"
-  length = "38s"
+  length = "62s"
   every  = "60ms"
 }
 
--- /dev/null
+++ b/internal/control/numbering_test.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigodrift/internal/exchange"
+	"indigodrift/internal/memnet"
+	"indigodrift/internal/numbers"
+	"indigodrift/policy"
+)
+
+// withTables runs a station whose store is in a folder, until stop.
+func withTables(t *testing.T, dir string) (s *Station, stop func()) {
+	m := memnet.New()
+	s, err := New(Site{Deployment: policy.Deployment{Own: 0, MaxTries: 4, Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}},
+		Exchanges: 3, OwnSwitch: "own", Register: "none", Inbox: 64, LinkMost: 1 << 16,
+		Numbers: &Numbers{Store: filepath.Join(dir, "store"), Table: tableAt(t, dir, 1, 1), Callers: 10, Trial: numbers.Trial{Window: 600000, Bound: 0.2, Least: 5}}},
+		func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
+			return policy.New(d, x, now)
+		},
+		func(_ context.Context, address string) (net.Conn, error) { return m.Dial(address) }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	return s, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// tableAt writes a version that leads all numbers to an exchange.
+func tableAt(t *testing.T, dir string, version, to int) string {
+	t.Helper()
+	name := filepath.Join(dir, fmt.Sprintf("v%d.hcl", version))
+	text := fmt.Sprintf("version = %d\nroute \"all\" {\n  prefixes = [\"1\"]\n  choice {\n    to \"%d\" {}\n  }\n}\n", version, to)
+	if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+func inForce(s *Station) uint64 {
+	return s.versions(func(v *numbers.Versions) (uint64, error) { return v.Current().Version, nil })
+}
+
+func TestTableComesIntoForceAtItsInstantAndSurvivesARestart(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		s, stop := withTables(t, dir)
+		instant := time.Now().Add(30 * time.Second).Truncate(time.Second)
+		if _, err := s.Load(tableAt(t, dir, 2, 2), instant); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Until(instant) - time.Millisecond)
+		if v := inForce(s); v != 1 {
+			t.Fatalf("version %d before its instant", v)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if v := inForce(s); v != 2 {
+			t.Fatalf("version %d after its instant", v)
+		}
+		time.Sleep(time.Second) // the history is written beside
+		stop()
+		s, stop = withTables(t, dir)
+		if v := inForce(s); v != 2 {
+			t.Fatalf("version %d after a restart", v)
+		}
+		if _, err := s.Rollback("test"); !errors.Is(err, numbers.ErrNone) {
+			t.Fatalf("rolled back to what it does not have: %v", err)
+		}
+		stop()
+	})
+}
+
+func TestLoadThatCannotBeKeptChangesNothing(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		s, stop := withTables(t, dir)
+		defer stop()
+		store := filepath.Join(dir, "store")
+		if err := errors.Join(os.Rename(store, store+"-away"), os.WriteFile(store, nil, 0o644)); err != nil { // a disk that takes no file
+			t.Fatal(err)
+		}
+		if _, err := s.Load(tableAt(t, dir, 2, 2), time.Now()); err == nil || inForce(s) != 1 {
+			t.Fatalf("%v, version %d", err, inForce(s))
+		}
+		bad := filepath.Join(dir, "bad.hcl")
+		os.WriteFile(bad, []byte("version = 3\nroute \"x\" {\n  choice {\n    to \"7\" {}\n  }\n}\n"), 0o644)
+		if _, err := s.Load(bad, time.Now()); err == nil || !strings.Contains(err.Error(), "bad.hcl:4,5") || inForce(s) != 1 {
+			t.Fatalf("%v, version %d", err, inForce(s))
+		}
+	})
+}
+
+func TestTwoChangesAtOnceEndWithTheNewer(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		s, stop := withTables(t, dir)
+		defer stop()
+		errs := make(chan error, 2)
+		for _, v := range []int{2, 3} {
+			name := tableAt(t, dir, v, 2)
+			go func() {
+				_, err := s.Load(name, time.Now())
+				errs <- err
+			}()
+		}
+		for range 2 {
+			if err := <-errs; err != nil && !errors.Is(err, numbers.ErrOld) {
+				t.Fatal(err)
+			}
+		}
+		if v := inForce(s); v != 3 {
+			t.Fatalf("version %d", v)
+		}
+	})
+}
+
+func TestOrdersOverTheSocket(t *testing.T) {
+	dir := t.TempDir()
+	s, stop := withTables(t, dir)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		s.takeOrders(ctx, ln)
+		close(ended)
+	}()
+	defer func() { cancel(); <-ended; stop() }()
+	at := ln.Addr().String()
+	for _, c := range []struct {
+		o       Order
+		version uint64
+		fault   string
+	}{
+		{Order{Do: "versions"}, 1, ""}, {Order{Do: "load", File: tableAt(t, dir, 2, 2)}, 2, ""}, {Order{Do: "load", File: tableAt(t, dir, 2, 2)}, 2, "not newer"},
+		{Order{Do: "load", File: filepath.Join(dir, "none")}, 2, "no such file"}, {Order{Do: "rollback"}, 1, ""},
+		{Order{Do: "load", File: tableAt(t, dir, 2, 2)}, 1, "taken back before: by order"}, {Order{Do: "dance"}, 1, "there are load, rollback, versions"},
+	} {
+		r, err := Tell(at, c.o)
+		if err != nil || r.Version != c.version || (c.fault == "") != (r.Error == "") || !strings.Contains(r.Error, c.fault) {
+			t.Errorf("%+v: %+v, %v", c.o, r, err)
+		}
+	}
+}
--- a/internal/exchange/numbering_test.go
+++ b/internal/exchange/numbering_test.go
@@ -223,6 +223,39 @@
 	p.clean(t)
 }
 
+// A version comes into force in the very second in which a time rule of both turns: each call goes by one whole version at
+// the time it began, never by the new one's route at the old one's hour.
+func TestChangeAtTheInstantOfATimeRule(t *testing.T) {
+	p := newPaper(3, 20)
+	all := numbered(t, p)
+	z, _ := numbers.NewZone("UTC")
+	turn := p.now/10000/60 + 1 // the next full minute
+	timed := func(version uint64, early, late int) *numbers.Table {
+		minute := int(turn % 1440)
+		tab := &numbers.Table{Version: version, Zone: z, Entries: []numbers.Entry{{Name: "x", Least: 9, Most: 9, Choices: []numbers.Choice{
+			{When: &numbers.When{From: minute, To: minute + 60}, Shares: []numbers.Share{{Weight: 1, Exchange: late}}},
+			{Shares: []numbers.Share{{Weight: 1, Exchange: early}}}}}}}
+		if err := tab.Build([]numbers.Prefix{{Digits: "001", Entry: 0}}, 3); err != nil {
+			t.Fatal(err)
+		}
+		return tab
+	}
+	p.sites[1].x.Change(p.now, func(n *Numbering) {
+		n.Versions.Load(timed(2, 0, 0), 0, 0, p.now)
+		if err := n.Versions.Load(timed(3, 1, 2), int64(turn*60), n.Second(p.now), p.now); err != nil {
+			t.Fatal(err)
+		}
+	})
+	p.passWith(turn*600000-p.now-100, all)
+	before := p.call(1, 1, 0, 1, 30000)
+	p.passWith(100, all)
+	after := p.call(1, 1, 0, 1, 30000)
+	p.passWith(2000, all)
+	if a, b := reached(p, before), reached(p, after); a != 0 || b != 2 {
+		t.Fatalf("the call before reached %d, the one after %d; 0 and 2 are right, 1 is a mixture", a, b)
+	}
+}
+
 // Calls, hang-ups, tables changed and taken back, look-ups quick, late and silent, in any order: the rules hold, nothing is
 // held when all is over, and every version but the one in force is freed.
 func TestRulesHoldWhileTablesAndLookUpsChange(t *testing.T) {
--- a/internal/numbers/inquire_test.go
+++ b/internal/numbers/inquire_test.go
@@ -191,3 +191,73 @@
 		}
 	}
 }
+
+// BenchmarkGoS is the share of calls whose look-up and route together take no longer than the GoS target, 50 calls a second
+// for a minute to 2,000 numbers of which few are dialled most, by what the server does and what is used against it: all of
+// it, no memory of answers, or a plain look-up that waits for its answer until it times out.
+func BenchmarkGoS(b *testing.B) {
+	const gos, calls = policy.Tenths(12000), 3000
+	for _, server := range []struct {
+		name  string
+		delay func(now policy.Tenths) policy.Tenths
+	}{{"healthy", func(policy.Tenths) policy.Tenths { return 100 }}, {"500-ms-late", func(policy.Tenths) policy.Tenths { return 5000 }},
+		{"silent", func(policy.Tenths) policy.Tenths { return -1 }},
+		{"flapping", func(now policy.Tenths) policy.Tenths {
+			if now/20000%2 == 0 {
+				return 100
+			}
+			return -1
+		}}} {
+		for _, use := range []string{"all", "no-memory", "plain"} {
+			b.Run(server.name+"/"+use, func(b *testing.B) {
+				for range b.N {
+					l := limits()
+					l.Known, l.Unknown, l.TimeOut = 1000, 100, 10000
+					if use == "no-memory" {
+						l.Known, l.Unknown, l.Age = 1, 1, 1
+					}
+					o := newOffice(l)
+					chance := rand.New(rand.NewPCG(5, 5))
+					dialled := rand.NewZipf(chance, 1.1, 5, 1999)
+					began, met, known := map[uint32]policy.Tenths{}, 0, 0
+					waited := make([]policy.Tenths, calls+1)
+					for call := uint32(1); call <= calls; call++ {
+						d := server.delay(o.now)
+						o.delay = [2]policy.Tenths{d, d}
+						if use == "plain" {
+							if waited[call] = d; d < 0 || d > l.TimeOut {
+								waited[call] = l.TimeOut
+							} else {
+								known++
+							}
+							o.now += 200
+							continue
+						}
+						began[call] = o.now
+						o.ask(call, fmt.Sprint("3712", dialled.Uint64()), WaitUntil(o.now, o.now+gos, o.now+30000)-o.now)
+						for end := o.now + 200; o.now < end; {
+							o.pass(50)
+							for c, at := range began {
+								if o.told[c] {
+									waited[c] = o.now - at
+									delete(began, c)
+									if o.known[c] {
+										known++
+									}
+								}
+							}
+						}
+					}
+					for _, w := range waited[1:] {
+						if route := policy.Tenths(chance.ExpFloat64() * 3000); w+route <= gos { // 300 ms on average
+							met++
+						}
+					}
+					b.ReportMetric(float64(met)/calls, "gos-share")
+					b.ReportMetric(float64(known)/calls, "known-share")
+					b.ReportMetric(float64(len(o.queries))/calls, "queries-a-call")
+				}
+			})
+		}
+	}
+}
--- a/internal/standin/subscribers.go
+++ b/internal/standin/subscribers.go
@@ -236,7 +236,7 @@
 	} else if cut {
 		marks = isup.CutBefore
 	}
-	s.write(c.From, isup.Message{CIC: d.cic, Type: isup.IAM, Digits: exchange.Called(c.Dest, c.Line()), Width: c.Width,
+	s.write(c.From, isup.Message{CIC: d.cic, Type: isup.IAM, Digits: exchange.Called(c.Dest, c.Line()), Caller: exchange.Called(c.From, c.Line()), Width: c.Width,
 		Ref: isup.Reference{Point: exchange.Point(c.From), Identity: s.ident & 0xffffff}, Says: isup.Says{
 			Has: isup.PartLeft | isup.PartCall, Left: uint32(ttl / (100 * time.Microsecond)),
 			Stamp: uint32(now / (100 * time.Microsecond)), Bearer: uint8(c.Bearer), Marks: marks}})
