MGCP messages and digit maps, decoded without I/O

Groundwork of the gateways at the door: RFC 3435 commands, responses, piggy-backed messages and session descriptions, and digit maps checked against regular expressions at random.

--- /dev/null
+++ b/internal/mgcp/mgcp_test.go
@@ -0,0 +1,165 @@
+package mgcp
+
+import (
+	"errors"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func anyMessage(t *rapid.T) Message {
+	m := Message{Transaction: rapid.Uint32Range(1, TransactionMost).Draw(t, "transaction")}
+	if rapid.Bool().Draw(t, "command") {
+		m.Verb = rapid.SampledFrom(verbs).Draw(t, "verb")
+		m.Endpoint = rapid.SampledFrom([]string{"aaln/1@gw.example", "*@gw.example", "ds/*/$@[10.0.0.1]", "x@y"}).Draw(t, "endpoint")
+	} else {
+		m.Code = rapid.SampledFrom([]int{0, 100, 200, 250, 401, 500, 521}).Draw(t, "code")
+		m.Comment = rapid.SampledFrom([]string{"", "OK", "The transaction was executed normally"}).Draw(t, "comment")
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "params") {
+		m.Params = append(m.Params, Param{rapid.SampledFrom([]string{"C", "I", "R", "S", "X", "O", "D", "X-OWN"}).Draw(t, "name"),
+			rapid.StringMatching(`([a-zA-Z0-9,/()*#|.:-]([a-zA-Z0-9,/()*#|.: -]{0,20}[a-z0-9])?)?`).Draw(t, "value")})
+	}
+	if rapid.Bool().Draw(t, "session") {
+		m.Session = []byte("v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\n")
+		if rapid.Bool().Draw(t, "second") {
+			m.Second = []byte("v=0\r\n")
+		}
+	}
+	return m
+}
+
+func TestDatagramsReadBackAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want []Message
+		var text []byte
+		for i := range rapid.IntRange(1, 3).Draw(t, "messages") {
+			m := anyMessage(t)
+			if i > 0 {
+				text = append(text, ".\r\n"...)
+			}
+			var err error
+			if text, err = Append(text, m); err != nil {
+				t.Fatal(err)
+			}
+			want = append(want, m)
+		}
+		got, err := Decode(text)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v\nread %+v\nwant %+v\n%s", err, got, want, text)
+		}
+		bare, err := Decode([]byte(strings.ReplaceAll(string(text), "\r\n", "\n"))) // lines may end with LF alone
+		if err != nil || !reflect.DeepEqual(bare, want) {
+			t.Fatalf("with LF alone: %v %+v", err, bare)
+		}
+	})
+}
+
+// Messages written after the grammar of RFC 3435, appendix A, and what is no message.
+func TestMessagesAfterTheGrammar(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want Message
+	}{
+		{"rqnt 1201 aaln/1@rgw.example mgcp 1.0\nX: 0123456789AC\nR: hd(N)\n", Message{Verb: NotificationRequest, Transaction: 1201,
+			Endpoint: "aaln/1@rgw.example", Params: []Param{{"X", "0123456789AC"}, {"R", "hd(N)"}}}},
+		{"200 1201 OK\r\n", Message{Transaction: 1201, Code: 200, Comment: "OK"}},
+		{"000 1203\r\n", Message{Transaction: 1203}},
+		{"NTFY 2002 aaln/1@rgw.example MGCP 1.0\nX:0123456789AC\n o : hd \n", Message{Verb: Notify, Transaction: 2002, Endpoint: "aaln/1@rgw.example",
+			Params: []Param{{"X", "0123456789AC"}, {"O", "hd"}}}},
+		{"200 1204 OK\nI: FDE234C8\n\nv=0\nc=IN IP4 127.0.0.1\n", Message{Transaction: 1204, Code: 200, Comment: "OK", Params: []Param{{"I", "FDE234C8"}},
+			Session: []byte("v=0\r\nc=IN IP4 127.0.0.1\r\n")}},
+	} {
+		got, err := Decode([]byte(c.text))
+		if err != nil || len(got) != 1 || !reflect.DeepEqual(got[0], c.want) {
+			t.Errorf("%q: %+v, %v", c.text, got, err)
+		}
+	}
+	for _, text := range []string{"", "\n", ".", "RQNT\n", "RQNT 0 a@b MGCP 1.0\n", "RQNT 1000000000 a@b MGCP 1.0\n", "RQNT 1 a MGCP 1.0\n", "RQNT 1 a@b MGCP 0.1\n",
+		"DANCE 1 a@b MGCP 1.0\n", "RQNT 1 a*b/1@c MGCP 1.0\n", "RQNT 1 a//1@c MGCP 1.0\n", "200 1\nnothing\n", "2x0 1\n", "200 1\n: x\n", strings.Repeat("x", DatagramMost+1)} {
+		if _, err := Decode([]byte(text)); !errors.Is(err, ErrMessage) {
+			t.Errorf("%.30q: %v", text, err)
+		}
+	}
+}
+
+// Digit maps against the library's regular expressions, on all digits up to some length.
+func TestDigitMapsAgainstExpressions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var options, expressions []string
+		for range rapid.IntRange(1, 4).Draw(t, "options") {
+			var option, expression strings.Builder
+			for range rapid.IntRange(1, 4).Draw(t, "signs") {
+				p := rapid.SampledFrom([][2]string{{"1", "1"}, {"x", "[0-9]"}, {"[2-4]", "[2-4]"}, {"x.", "[0-9]*"}, {"1.", "1*"}, {"*", `\*`}, {"[1#]", "[1#]"}}).Draw(t, "sign")
+				option.WriteString(p[0])
+				expression.WriteString(p[1])
+			}
+			if rapid.Bool().Draw(t, "timer") {
+				option.WriteByte('T')
+				expression.WriteByte('T')
+			}
+			options, expressions = append(options, option.String()), append(expressions, expression.String())
+		}
+		text := "(" + strings.Join(options, "|") + ")"
+		d, err := ParseMap(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := regexp.MustCompile("^(" + strings.Join(expressions, "|") + ")$")
+		var all []string
+		for _, a := range []string{"", "1", "2", "5", "*", "#", "T"} {
+			for _, b := range []string{"", "1", "3", "9", "T"} {
+				for _, c := range []string{"", "1", "4", "T", "11", "123"} {
+					all = append(all, a+b+c)
+				}
+			}
+		}
+		for _, s := range all {
+			m := d.Match(s)
+			if met := m == Full || m == Ambiguous; met != whole.MatchString(s) {
+				t.Fatalf("%s on %q: %d, the expression %v", text, s, m, whole.MatchString(s))
+			}
+			longer := false
+			for _, l := range all {
+				longer = longer || len(l) > len(s) && strings.HasPrefix(l, s) && whole.MatchString(l)
+			}
+			if longer && (m == NoMatch || m == Full) {
+				t.Fatalf("%s on %q: %d, but something longer fits", text, s, m)
+			}
+		}
+	})
+}
+
+func TestDigitMapsOfNoForm(t *testing.T) {
+	for _, text := range []string{"", "()", "(1|)", "(1", "[1", "[]", "[4-2]", ".", "1..", "y", "T.", strings.Repeat("1", 65), strings.Repeat("1|", 70) + "1"} {
+		if _, err := ParseMap(text); !errors.Is(err, ErrMessage) {
+			t.Errorf("%.20q: %v", text, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{"RQNT 1201 aaln/1@rgw.example MGCP 1.0\r\nX: 1\r\nR: hd(N), [0-9#*T](D)\r\nD: (0T|00T|[1-7]xxx|8xxxxxxx)\r\n",
+		"200 1201 OK\r\n.\r\nDLCX 1210 aaln/1@rgw.example MGCP 1.0\r\nC: A3\r\nI: F1\r\n", "200 1204 OK\r\nI: F1\r\n\r\nv=0\r\n\r\nv=0\r\n", "000 7\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		all, err := Decode(b)
+		if err != nil && !errors.Is(err, ErrMessage) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+		for _, m := range all {
+			text, err := Append(nil, m)
+			if err != nil {
+				continue // parameters may hold what is taken but not sent
+			}
+			again, err := Decode(text)
+			if err != nil || len(again) != 1 || !reflect.DeepEqual(again[0], m) {
+				t.Fatalf("%+v reads back as %+v, %v", m, again, err)
+			}
+		}
+	})
+}
