MGCP transactions: at most once, repeats that follow the peer, three-way handshake

Pure sender and receiver of RFC 3435 3.5. Found: a peer slower than the first wait was never learned of and got every command twice for ever; the wait that a repeated command had come to is now kept.

--- a/cmd/indigodrift/main_test.go
+++ b/cmd/indigodrift/main_test.go
@@ -119,12 +119,29 @@
 			break
 		}
 	}
+	if len(running(t, dir)) < 2 { // the day and its controllers name the folder
+		t.Fatal("nothing was running before the interrupt")
+	}
 	c.Process.Signal(os.Interrupt)
 	c.Wait()
-	found, err := exec.Command("pgrep", "-f", dir).Output()
-	if err == nil && len(found) > 0 {
-		t.Fatalf("still running: %s", found)
+	if found := running(t, dir); len(found) > 0 {
+		t.Fatalf("still running: %v", found)
+	}
+}
+
+// running lists the processes whose command line names a folder.
+func running(t *testing.T, dir string) (found []string) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil || len(all) == 0 {
+		t.Fatalf("%d processes to look at, %v", len(all), err)
+	}
+	for _, name := range all {
+		if line, err := os.ReadFile(name); err == nil && strings.Contains(string(line), dir) {
+			found = append(found, strings.ReplaceAll(string(line), "\x00", " "))
+		}
 	}
+	return found
 }
 
 func TestFaultsInSettingsNameThePlace(t *testing.T) {
--- a/examples/days/ported.hcl
+++ b/examples/days/ported.hcl
@@ -1,5 +1,5 @@
 about            = "portability asked for every call, by a server that is well, late, silent and flapping"
-length           = "40s"
+length           = "60s"
 seed             = 1
 exchanges        = 6
 calls_per_second = 70
@@ -74,3 +74,27 @@
   how    = "silent"
   size   = 1
 }
+
+trouble "portability" {
+  start  = "41s"
+  length = "4s"
+  how    = "truncated"
+}
+
+trouble "portability" {
+  start  = "46s"
+  length = "4s"
+  how    = "wrong"
+}
+
+trouble "portability" {
+  start  = "51s"
+  length = "4s"
+  how    = "contradictory"
+}
+
+trouble "portability" {
+  start  = "56s"
+  length = "4s"
+  how    = "other"
+}
--- /dev/null
+++ b/internal/mgcp/transaction.go
@@ -0,0 +1,289 @@
+package mgcp
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"indigodrift/policy"
+)
+
+// Times of RFC 3435, 3.5, in tenths of a millisecond.
+const (
+	TMax  = policy.Tenths(200000) // a command is repeated for so long at most, and is then given up
+	THist = policy.Tenths(300000) // a response is kept so long after it was sent, and an id is not used again before
+
+	longTimer = policy.Tenths(50000) // after a provisional response a command is repeated this seldom
+	rtoFirst  = policy.Tenths(2000)  // before any answer of a peer has told how long it takes
+	rtoLeast  = policy.Tenths(500)   // the least wait before a repeat
+	rtoMost   = policy.Tenths(40000) // 3.5.3: not over four seconds
+	suspectAt = 5                    // Max1: repeats after which a peer's other addresses are tried
+	goneAt    = 7                    // Max2: repeats after which it is held to be disconnected
+	deviants  = 2                    // deviations above the mean answer time that a wait allows for
+	idMost    = uint32(TransactionMost)
+	gain      = 0.125
+	gainDev   = 0.25
+	jitter    = 0.1
+	keptMost  = 1 << 16 // responses kept for one peer
+)
+
+// Fate of a command that was sent.
+type Fate uint8
+
+const (
+	Answered Fate = iota
+	Suspect       // not answered so often that another address of the peer should be tried; it goes on
+	Gone          // given up: the peer is held to be disconnected
+)
+
+// Out is what a Sender asks for. Its methods must not call back.
+type Out interface {
+	Transmit(m Message, repeat int)        // put it on the wire; repeat counts from 0
+	Ended(id uint32, fate Fate, r Message) // r is the response when it was answered
+}
+
+type sent struct {
+	m       Message
+	first   policy.Tenths
+	last    policy.Tenths
+	dueAt   policy.Tenths
+	repeats int
+	long    bool // a provisional response came
+	suspect bool
+}
+
+// Sender sees commands to one peer through: repeats them with a wait that follows how long answers take and doubles, gives
+// them up after TMax, and acknowledges final responses that ask for it.
+type Sender struct {
+	out    Out
+	chance *rand.Rand
+	open   map[uint32]*sent
+	order  []uint32 // as sent
+	nextID uint32
+	mean   float64 // answer time, tenths
+	dev    float64
+	told   bool
+	held   policy.Tenths            // the wait that a repeated command had come to, until one is answered without a repeat
+	late   map[uint32]policy.Tenths // given up or answered: the id must not be used again until then
+	acks   []uint32                 // answered, to be acknowledged with the next command (K parameter)
+}
+
+// NewSender starts with an id; the one after the last must be kept over a restart of the program, or drawn at random.
+func NewSender(firstID uint32, seed uint64, out Out) *Sender {
+	return &Sender{out: out, chance: rand.New(rand.NewPCG(seed, 0x17)), open: map[uint32]*sent{}, nextID: firstID%idMost + 1, late: map[uint32]policy.Tenths{}}
+}
+
+// rto is the wait before the first repeat: the mean answer time and some deviations.
+func (s *Sender) rto() policy.Tenths {
+	switch {
+	case s.held > 0:
+		return s.held
+	case !s.told:
+		return rtoFirst
+	}
+	return min(rtoMost, max(rtoLeast, policy.Tenths(s.mean+deviants*s.dev)))
+}
+
+// Send sends a command under a new transaction id and returns it.
+func (s *Sender) Send(now policy.Tenths, m Message) uint32 {
+	for {
+		at, used := s.late[s.nextID]
+		if s.open[s.nextID] == nil && (!used || now >= at) {
+			break
+		}
+		s.nextID = s.nextID%idMost + 1
+	}
+	m.Transaction = s.nextID
+	s.nextID = s.nextID%idMost + 1
+	delete(s.late, m.Transaction)
+	if len(s.acks) > 0 {
+		m.Params = append([]Param{{"K", ranges(s.acks)}}, m.Params...)
+		s.acks = s.acks[:0]
+	}
+	t := &sent{m: m, first: now, last: now}
+	t.dueAt = now + s.spread(s.rto())
+	s.open[m.Transaction] = t
+	s.order = append(s.order, m.Transaction)
+	s.out.Transmit(m, 0)
+	return m.Transaction
+}
+
+// spread keeps many senders that began together from repeating together.
+func (s *Sender) spread(wait policy.Tenths) policy.Tenths {
+	return wait + policy.Tenths(float64(wait)*jitter*s.chance.Float64())
+}
+
+// Response takes a response. One to a command that is over, or never was, is passed over; a final one that follows a
+// provisional one is acknowledged at once (the three-way handshake of 3.5.6).
+func (s *Sender) Response(now policy.Tenths, r Message) {
+	t := s.open[r.Transaction]
+	if t == nil {
+		return
+	}
+	if r.IsProvisional() {
+		t.long = true
+		t.dueAt = now + longTimer
+		return
+	}
+	// An answer to a repeat may be the answer to the first and tells no time; the next command starts with the wait that this
+	// one had come to (Karn's rule). Without the second half a peer slower than the first wait was never learned of, and got
+	// every command twice.
+	if t.repeats > 0 {
+		s.held = min(rtoMost, s.rto()<<t.repeats)
+	} else {
+		s.held = 0
+		took := float64(now - t.first)
+		if !s.told {
+			s.told, s.mean, s.dev = true, took, took/2
+		} else if d := took - s.mean; !t.long {
+			s.mean += gain * d
+			s.dev += gainDev * (max(d, -d) - s.dev)
+		}
+	}
+	if t.long {
+		s.out.Transmit(Message{Transaction: r.Transaction}, 0)
+	} else {
+		s.acks = append(s.acks, r.Transaction)
+	}
+	s.close(now, r.Transaction)
+	s.out.Ended(r.Transaction, Answered, r)
+}
+
+func (s *Sender) close(now policy.Tenths, id uint32) {
+	delete(s.open, id)
+	s.late[id] = now + THist
+	for len(s.order) > 0 && s.open[s.order[0]] == nil {
+		s.order = s.order[1:]
+	}
+}
+
+// Tick repeats what is due and gives up what has been repeated too long.
+func (s *Sender) Tick(now policy.Tenths) {
+	for _, id := range append([]uint32(nil), s.order...) {
+		t := s.open[id]
+		if t == nil || now < t.dueAt {
+			continue
+		}
+		if now-t.first >= TMax || t.repeats >= goneAt && !t.long {
+			s.close(now, id)
+			s.out.Ended(id, Gone, Message{})
+			continue
+		}
+		t.repeats++
+		wait := longTimer
+		if !t.long {
+			wait = min(rtoMost, s.rto()<<t.repeats)
+		}
+		t.last, t.dueAt = now, min(now+s.spread(wait), t.first+TMax)
+		s.out.Transmit(t.m, t.repeats)
+		if t.repeats == suspectAt && !t.suspect {
+			t.suspect = true
+			s.out.Ended(id, Suspect, Message{})
+		}
+	}
+	for id, at := range s.late { // bounded by what was sent within THist
+		if now >= at {
+			delete(s.late, id)
+		}
+	}
+}
+
+// Cancel gives a command up without a word: nobody waits for its answer any more.
+func (s *Sender) Cancel(now policy.Tenths, id uint32) {
+	if s.open[id] != nil {
+		s.close(now, id)
+	}
+}
+
+// Next is when Tick must be called next; false when nothing is out.
+func (s *Sender) Next() (at policy.Tenths, ok bool) {
+	for _, id := range s.order {
+		if t := s.open[id]; t != nil && (!ok || t.dueAt < at) {
+			at, ok = t.dueAt, true
+		}
+	}
+	return at, ok
+}
+
+// Receiver carries each command of one peer out at most once (3.5.1): a command that comes again while it is being carried
+// out gets a provisional response, and afterwards the response that was sent before, for THist.
+type Receiver struct {
+	kept  map[uint32]*kept
+	order []uint32
+}
+
+type kept struct {
+	response Message
+	done     bool
+	until    policy.Tenths
+}
+
+// NewReceiver makes a receiver that has seen nothing.
+func NewReceiver() *Receiver { return &Receiver{kept: map[uint32]*kept{}} }
+
+// Command takes a command. carryOut: it is new, and Done must follow; else reply, if any, goes back.
+func (r *Receiver) Command(now policy.Tenths, m Message) (carryOut bool, reply *Message) {
+	r.forget(now)
+	if k := r.kept[m.Transaction]; k != nil {
+		if k.done {
+			return false, &k.response
+		}
+		return false, &Message{Transaction: m.Transaction, Code: 100, Comment: "being carried out"}
+	}
+	if len(r.kept) >= keptMost { // memory stays bounded: an overloaded peer is told so (403: no resources now)
+		return false, &Message{Transaction: m.Transaction, Code: 403, Comment: "too many transactions"}
+	}
+	r.kept[m.Transaction] = &kept{until: now + THist}
+	r.order = append(r.order, m.Transaction)
+	return true, nil
+}
+
+// Done keeps the response to a command and returns what to send.
+func (r *Receiver) Done(now policy.Tenths, m Message) Message {
+	if k := r.kept[m.Transaction]; k != nil {
+		k.response, k.done, k.until = m, true, now+THist
+	}
+	return m
+}
+
+// Acknowledged forgets a response that the peer has; its id stays used until THist has passed.
+func (r *Receiver) Acknowledged(id uint32) {
+	if k := r.kept[id]; k != nil && k.done {
+		k.response = Message{Transaction: id, Code: k.response.Code}
+	}
+}
+
+// forget drops what was kept for long enough. Responses are kept from when they were sent, so that the order of commands
+// is not quite that of their ends; one in the way of others waits for its own time.
+func (r *Receiver) forget(now policy.Tenths) {
+	for len(r.order) > 0 {
+		k := r.kept[r.order[0]]
+		if k != nil && now < k.until {
+			return
+		}
+		delete(r.kept, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+// Kept counts the responses kept.
+func (r *Receiver) Kept() int { return len(r.kept) }
+
+// ranges writes ids as the K parameter has them: 6234-6255, 6257.
+func ranges(ids []uint32) string {
+	var b []byte
+	for i := 0; i < len(ids); {
+		j := i
+		for j+1 < len(ids) && ids[j+1] == ids[j]+1 {
+			j++
+		}
+		if len(b) > 0 {
+			b = append(b, ", "...)
+		}
+		b = strconv.AppendUint(b, uint64(ids[i]), 10)
+		if j > i {
+			b = strconv.AppendUint(append(b, '-'), uint64(ids[j]), 10)
+		}
+		i = j + 1
+	}
+	return string(b)
+}
--- a/internal/numbers/inquire_test.go
+++ b/internal/numbers/inquire_test.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// A server that answers at once that it cannot, or nonsense, is as good as dead: the calls go on without it at once, and the
+// other is asked.
+func TestServerThatFailsAtOnceIsLeft(t *testing.T) {
+	o := newOffice(limits())
+	o.delay = [2]policy.Tenths{-1, 100}
+	for call := uint32(1); call <= 200; call++ {
+		o.ask(call, fmt.Sprint("3712", call), 3000)
+		for _, q := range append([]*query(nil), o.q.order...) { // whatever went to the first fails now
+			if o.q.byID[q.id] == q && q.server == 0 {
+				o.q.Failed(o.now, q.id)
+			}
+		}
+		o.pass(200)
+	}
+	known := 0
+	for call := uint32(101); call <= 200; call++ {
+		if o.known[call] {
+			known++
+		}
+	}
+	if known < 95 || len(o.broken) > 0 {
+		t.Fatalf("%d of the last 100 calls were told; broken %v", known, o.broken)
+	}
+}
+
 func TestOtherServerTakesOver(t *testing.T) {
 	o := newOffice(limits())
 	o.delay = [2]policy.Tenths{-1, 100}
