--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,10 @@
 	stalled atomic.Int64
 }
 
+// lastWords is left to the links' writers for the answers that a drain ended with: they are handed to the kernel within
+// microseconds, and a connection closed before that would lose them.
+const lastWords = 20 * time.Millisecond
+
 const epoch = policy.Tenths(1 << 32)
 
 func (c *clock) Now() policy.Tenths {
@@ -165,8 +169,8 @@
 		all.Go(func() { s.takeOrders(carrying, s.orders) })
 	}
 	err := s.loop(ctx)
-	if err == nil { // the last answers are on their way out of the queues
-		time.Sleep(20 * time.Millisecond)
+	if err == nil {
+		time.Sleep(lastWords)
 	}
 	stop()
 	close(s.done)
@@ -361,8 +365,7 @@
 func (r *reader) Advice(advice map[int]int) { r.put(event{kind: evAdvice, advice: advice}) }
 func (r *reader) Lost(err error)            { r.put(event{kind: evLost, err: err}) }
 
-// Frame hands over a message. A new call that finds the inbox three quarters full is answered here, at once: the rest is
-// kept for answers and releases, whose readers wait.
+// Frame hands over a message. A new call that finds no room in the inbox is answered here, at once.
 func (r *reader) Frame(link int, f m3ua.Frame) error {
 	m, err := isup.Decode(f.User)
 	if err != nil {
@@ -382,7 +385,7 @@
 	if m.Says.Has&isup.PartLeft != 0 {
 		ev.age = r.lags[link].Age(r.clock.Now(), m.Says.Stamp)
 	}
-	if m.Type == isup.IAM && len(r.inbox) > cap(r.inbox)*3/4 {
+	if m.Type == isup.IAM && !exchange.RoomForCall(len(r.inbox), cap(r.inbox)) {
 		r.turned.Add(1)
 		(*Station)(r).transmit(nil, hop, isup.Message{CIC: m.CIC, Type: isup.REL, Cause: isup.Congestion, Location: isup.LocalNetwork})
 		return nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -219,6 +219,10 @@
 	hopsAtStart = 3 // an originating call may cross so many exchanges: one tandem and the destination
 )
 
+// RoomForCall tells whether a new call may still join so many messages that wait, of so many that can: the last quarter is
+// kept for answers and releases, which end work, where a call begins some.
+func RoomForCall(waiting, most int) bool { return waiting <= most-most/4 }
+
 // Exchange is the call control of one exchange.
 type Exchange struct {
 	own      int
