--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -60,6 +60,8 @@
 		{"stands twice", []Event{fine, answer(1600, isup.ANM)}, []int{1}},
 		{"an answer past the time by twice the margin", []Event{answer(4200, isup.REL)}, []int{1, 1}},
 		{"an answer after the caller left", []Event{at(2000, Leave, 0, 0), answer(2200, isup.REL)}, []int{1}},
+		{"the caller left while it stood still", []Event{at(1500, Stopped, 0, 0), at(2000, Leave, 0, 0), at(2500, Went, 0, 0), answer(2550, isup.REL)}, nil},
+		{"the caller left while it stood still, long ago", []Event{at(1500, Stopped, 0, 0), at(2000, Leave, 0, 0), at(2500, Went, 0, 0), answer(2700, isup.REL)}, []int{1}},
 		{"sent after the final answer", []Event{answer(1500, isup.REL), at(1700, Try, 3, 0)}, []int{1}},
 		{"unanswered as the controller was killed", []Event{at(2000, Killed, 0, 0)}, nil},
 		{"unanswered as it stood still at the end", []Event{at(3900, Stopped, 0, 0), at(5000, Went, 0, 0)}, nil},
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -261,12 +261,22 @@
 	if len(s.held) == 0 {
 		return
 	}
-	held := s.held
-	s.held = nil
+	var order []event
 	for _, own := range []bool{true, false} {
-		for _, ev := range held {
+		for _, ev := range s.held {
 			if (ev.link == len(s.links)-1) == own {
-				s.handle(ev)
+				order = append(order, ev)
+			}
+		}
+	}
+	s.held = nil
+	for i, ev := range order {
+		s.handle(ev)
+		now := s.clock.Now()
+		if s.stood(s.stall.Works(now)); i+1 < len(order) {
+			if _, reading := s.stall.Reading(now); reading { // it stood still again: the rest is old once more
+				s.held = append(s.held, order[i+1:]...)
+				return
 			}
 		}
 	}
