Calls are listed by sorting, and fields that nothing read are gone

When a link broke, calls were listed by trying every number given out since the oldest call: with one call that stands for an hour, hundreds of thousands of look-ups in the owner's goroutine; they are sorted now.

--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -32,10 +32,10 @@
 }
 
 type dial struct {
-	site               int
-	offered, deadline  int64
-	answered, left     int64
-	stands, twice, out bool
+	site              int
+	offered, deadline int64
+	answered, left    int64
+	stands            bool
 }
 
 type sending struct {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -110,8 +110,7 @@
 	behind map[uint32]int // point code: index of the neighbour
 	tables *tables
 	orders net.Listener
-	turned atomic.Int64 // calls answered at the door as the inbox was full
-	Ready  func()       // called once when the own switch first answers
+	Ready  func() // called once when the own switch first answers
 	// Sent, if set, stands between the exchange and the links: scripted days alone set it, to plant a broken rule.
 	Sent func(to exchange.Hop, m isup.Message, send func(exchange.Hop, isup.Message))
 }
@@ -396,7 +395,6 @@
 		ev.age = r.lags[link].Age(r.clock.Now(), m.Says.Stamp)
 	}
 	if m.Type == isup.IAM && !exchange.RoomForCall(len(r.inbox), cap(r.inbox)) {
-		r.turned.Add(1)
 		(*Station)(r).transmit(nil, hop, isup.Message{CIC: m.CIC, Type: isup.REL, Cause: isup.Congestion, Location: isup.LocalNetwork})
 		return nil
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,8 +5,10 @@
 package exchange
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"slices"
 
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/isup"
@@ -241,7 +243,6 @@
 	nextID   uint32
 	nextLine uint32
 	later    []report
-	ownUp    bool
 	ownLife  string
 	draining bool
 	waiting  int // calls that have no final answer yet
@@ -552,14 +553,14 @@
 			x.vanish(k, isup.NetworkOutOfOrder)
 		}
 	}
-	x.ownUp, x.ownLife = true, life
+	x.ownLife = life
 	x.settle()
 }
 
 // OwnDown tells that the link to the own switch broke. No answer reaches a caller now: calls without one are over and
 // what they hold is released; calls that stand go on until the switch is back and turns out to be another.
 func (x *Exchange) OwnDown(now policy.Tenths) {
-	x.now, x.ownUp = now, false
+	x.now = now
 	for _, k := range x.sorted() {
 		if k.state != Standing {
 			x.vanish(k, isup.TemporaryFailure)
@@ -601,18 +602,9 @@
 // sorted lists the calls in the order they came, so that map order decides nothing.
 func (x *Exchange) sorted() []*call {
 	all := make([]*call, 0, len(x.calls))
-	for id := x.firstID(); len(all) < len(x.calls); id++ {
-		if k := x.calls[id]; k != nil {
-			all = append(all, k)
-		}
+	for _, k := range x.calls {
+		all = append(all, k)
 	}
+	slices.SortFunc(all, func(a, b *call) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
-
-func (x *Exchange) firstID() uint32 {
-	least := x.nextID + 1
-	for id := range x.calls {
-		least = min(least, id)
-	}
-	return least
-}
--- a/internal/exchange/numbering_test.go
+++ b/internal/exchange/numbering_test.go
@@ -161,7 +161,7 @@
 		if over {
 			p.hangUp(ref)
 		}
-		if !over && !p.sites[1].x.calls[p.sites[1].x.firstID()].donor {
+		if !over && !p.sites[1].x.sorted()[0].donor {
 			t.Fatal("not marked as gone by the donor's route")
 		}
 		p.passWith(4000, all)
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -44,7 +44,6 @@
 type sent struct {
 	m       Message
 	first   policy.Tenths
-	last    policy.Tenths
 	dueAt   policy.Tenths
 	repeats int
 	long    bool // a provisional response came
@@ -99,7 +98,7 @@
 		m.Params = append([]Param{{"K", ranges(s.acks)}}, m.Params...)
 		s.acks = s.acks[:0]
 	}
-	t := &sent{m: m, first: now, last: now}
+	t := &sent{m: m, first: now}
 	t.dueAt = now + s.spread(s.rto())
 	s.open[m.Transaction] = t
 	s.order = append(s.order, m.Transaction)
@@ -173,7 +172,7 @@
 		if !t.long {
 			wait = min(rtoMost, s.rto()<<t.repeats)
 		}
-		t.last, t.dueAt = now, min(now+s.spread(wait), t.first+TMax)
+		t.dueAt = min(now+s.spread(wait), t.first+TMax)
 		s.out.Transmit(t.m, t.repeats)
 		if t.repeats == suspectAt && !t.suspect {
 			t.suspect = true
--- a/internal/numbers/inquire.go
+++ b/internal/numbers/inquire.go
@@ -55,14 +55,13 @@
 
 // server is what is known of one portability server.
 type server struct {
-	took     float64 // decaying mean of answer times, in tenths
-	weight   float64
-	at       policy.Tenths
-	silent   int // queries in a row without an answer
-	probeAt  policy.Tenths
-	probeIn  policy.Tenths
-	probing  bool
-	attempts int
+	took    float64 // decaying mean of answer times, in tenths
+	weight  float64
+	at      policy.Tenths
+	silent  int // queries in a row without an answer
+	probeAt policy.Tenths
+	probeIn policy.Tenths
+	probing bool
 }
 
 type query struct {
@@ -165,7 +164,6 @@
 	o := &query{id: q.nextID, number: number, server: to, sentAt: now, dueAt: now + q.l.TimeOut, probe: probe}
 	q.open[number], q.byID[o.id] = o, o
 	q.order = append(q.order, o)
-	q.servers[to].attempts++
 	q.out.Query(o.id, to, number)
 	return o
 }
--- a/internal/standin/subscribers.go
+++ b/internal/standin/subscribers.go
@@ -44,7 +44,6 @@
 
 type dial struct {
 	caller *Caller
-	no     int
 	cic    uint16
 	stands bool
 	over   bool
@@ -225,7 +224,7 @@
 	for s.active[c.From][s.next[c.From]] != nil {
 		s.next[c.From] = (s.next[c.From] + 1) & isup.CICMost
 	}
-	d := &dial{caller: c, no: c.Dials, cic: s.next[c.From]}
+	d := &dial{caller: c, cic: s.next[c.From]}
 	s.next[c.From] = (s.next[c.From] + 1) & isup.CICMost
 	s.active[c.From][d.cic] = d
 	s.ident++
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -73,7 +73,6 @@
 	cold   bool
 	up     bool
 	drain  bool
-	fell   bool
 	dis    Disturb
 	peers  map[uint32]*peer
 	conns  map[net.Conn]bool // every one open, also those that speak for nobody any more
@@ -107,7 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lives++
-	s.ln, s.up, s.fell, s.drain = ln, true, false, false
+	s.ln, s.up, s.drain = ln, true, false
 	s.bootAt, s.cold = time.Now(), s.lives > 1 || !s.work.Reuse
 	s.conns = map[net.Conn]bool{}
 	s.peers, s.busy, s.lines = map[uint32]*peer{}, map[uint32]map[uint16]uint32{}, map[uint16]isup.Reference{}
@@ -526,7 +525,6 @@
 	if most := s.work.FallMultiple * s.strength() * full; float64(len(s.setups)) <= most*1.3+10 {
 		return false
 	}
-	s.fell = true
 	go s.Stop()
 	return true
 }
