--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// Of lists that were never acknowledged the last one written counts; taken as a map has them, a switch that was ready again
+// seemed told off now and then.
+func TestLastOfUnacknowledgedListsCounts(t *testing.T) {
+	var log []Event
+	for version := range int64(20) {
+		log = append(log, told(100+version, uint16(version%2), version))
+	}
+	log = append(log, at(500, Try, 4, 0), back(510, 4, isup.REL), at(1500, Try, 3, 0), answer(1600, isup.ANM))
+	for range 20 {
+		if got := Judge(day(log...)); len(got) > 0 {
+			t.Fatal(got)
+		}
+	}
+}
+
 func TestColdSwitchIsJudgedByAllItGets(t *testing.T) {
 	for _, c := range []struct {
 		setups int
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"indigodrift/internal/isup"
 )
@@ -174,8 +176,10 @@
 
 // alive notes a sign of life: a list written well before it has been read.
 func (j *judge) alive(site int, at int64) {
-	for version, written := range j.pending[site] {
-		if at > written+quietMost {
+	// In the order written: taken as the map has them, an old list could undo a newer one, and a switch that was told ready
+	// again seemed told off.
+	for _, version := range slices.Sorted(maps.Keys(j.pending[site])) {
+		if at > j.pending[site][version]+quietMost {
 			j.learned(site, version, at)
 		}
 	}
@@ -197,8 +201,12 @@
 			j.told[site][sw] = at
 		}
 	}
-	delete(j.pending[site], version)
-	delete(j.lists[site], version)
+	for v := range j.pending[site] { // what was written before it tells nothing more
+		if v <= version {
+			delete(j.pending[site], v)
+			delete(j.lists[site], v)
+		}
+	}
 }
 
 // answer judges the first rule where an answer was read.
