A draining controller hears that callers leave; stops on stops are judged once

In one the stand-in switch forgot a controller that said it drains, so that its callers' releases were lost and it answered callers who had left: it keeps the link now and sends no set-up there. In another a controller was stopped as it stood still already and the audit left the first stop open for ever.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -63,6 +63,8 @@
 		{"the caller left while it stood still", []Event{at(1500, Stopped, 0, 0), at(2000, Leave, 0, 0), at(2500, Went, 0, 0), answer(2550, isup.REL)}, nil},
 		{"the caller left while it stood still, long ago", []Event{at(1500, Stopped, 0, 0), at(2000, Leave, 0, 0), at(2500, Went, 0, 0), answer(2700, isup.REL)}, []int{1}},
 		{"sent after the final answer", []Event{answer(1500, isup.REL), at(1700, Try, 3, 0)}, []int{1}},
+		{"the caller left while it was stopped twice over", []Event{at(1500, Stopped, 0, 0), at(2000, Leave, 0, 0), at(2100, Stopped, 0, 0), at(2500, Went, 0, 0),
+			answer(2550, isup.REL), at(2700, Went, 0, 0)}, nil},
 		{"unanswered as the controller was killed", []Event{at(2000, Killed, 0, 0)}, nil},
 		{"unanswered as it stood still at the end", []Event{at(3900, Stopped, 0, 0), at(5000, Went, 0, 0)}, nil},
 		{"stood still, but went on in time", []Event{at(1100, Stopped, 0, 0), at(2000, Went, 0, 0)}, []int{1}},
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -147,6 +147,9 @@
 	case Ack:
 		j.learned(e.Site, e.Value, e.At)
 	case Stopped:
+		if j.stoppedNow(e.Site) { // stopped as it was stopped already: the first word that it goes on counts for both
+			return
+		}
 		j.stopped[e.Site] = append(j.stopped[e.Site], interval{e.At, math.MaxInt64})
 	case Went:
 		if s := j.stopped[e.Site]; len(s) > 0 && s[len(s)-1].to == math.MaxInt64 {
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -56,6 +56,7 @@
 type peer struct {
 	conn  net.Conn
 	point uint32
+	down  bool // the own controller drains: no set-up goes there, what ends calls does
 	mu    sync.Mutex
 	buf   []byte
 }
@@ -392,7 +393,8 @@
 		case f.Kind == m3ua.Beat:
 			s.send(p, m3ua.Frame{Kind: m3ua.BeatAck, User: f.User})
 		case f.Kind == m3ua.Down:
-			delete(s.peers, p.point)
+			// With the peer forgotten here its callers' releases were lost, and it answered callers who had left.
+			p.down = true
 		case f.Kind == m3ua.Data:
 			var m isup.Message
 			if m, err = isup.Decode(f.User); err == nil {
@@ -491,7 +493,7 @@
 	r := isup.Message{CIC: m.CIC, Type: isup.REL, Cause: isup.Congestion, Location: isup.LocalNetwork}
 	wait := time.Duration(float64(s.behind) / s.strength())
 	switch {
-	case s.peers[own] == nil:
+	case s.peers[own] == nil || s.peers[own].down:
 		r.Cause = isup.OutOfOrder
 	case s.lost[p.point][m.CIC]:
 		r.Cause = isup.NoCircuit
@@ -533,6 +535,9 @@
 func (s *Switch) toController(from uint32, m isup.Message, arrived time.Time) {
 	own := uint32(exchange.Point(s.Number))
 	p := s.peers[own]
+	if p != nil && p.down && m.Type == isup.IAM { // it was in line when the controller said that it drains
+		p = nil
+	}
 	if m.Says.Has&isup.PartLeft != 0 {
 		waited := uint32(time.Since(arrived) / (100 * time.Microsecond))
 		if m.Says.Left <= waited { // its caller is gone
