--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -363,11 +363,14 @@
 }
 
 // Up, Down, List, Advice and Lost hand over what happened.
-func (r *reader) Up(link int, life string) {
+func (r *reader) Up(link int, g trunk.Greeting) {
 	// A switch in a new life has a new clock: with what was learned of the old one, every call seemed to have waited for
 	// as long as the old life had lasted, and none was taken.
 	r.lags[link] = lag.Lag{}
-	r.put(event{kind: evUp, link: link, life: life})
+	if g.HasClock {
+		r.lags[link] = lag.Begin(g.Asked, g.Read, g.Clock)
+	}
+	r.put(event{kind: evUp, link: link, life: g.Life})
 }
 func (r *reader) Down(link int, err error)  { r.put(event{kind: evDown, link: link, err: err}) }
 func (r *reader) List(l membership.List)    { r.put(event{kind: evList, list: l}) }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -89,6 +89,7 @@
 
 const (
 	Lines      = 0x2000 // blocks from which subscribers call
+	AtGateways = 0x2f00 // blocks from which lines at gateways call
 	CalledFrom = 0x3000 // blocks on which this exchange calls its lines
 	blockMost  = 256
 
@@ -149,6 +150,7 @@
 	tries    int
 	sw       uint32     // the switch of the present try
 	cause    isup.Cause // why the last try ended, for a caller in another exchange
+	session  string     // where the caller's side takes media, "" not told
 }
 
 type group struct {
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -203,7 +203,8 @@
 		}
 		return
 	}
-	k := &call{id: id, in: in, ref: m.Ref, digits: m.Digits, caller: m.Caller, donor: m.Says.Marks&isup.Donor != 0, beganAt: x.now, leavesAt: x.now + left, hops: hopsAtStart}
+	k := &call{id: id, in: in, ref: m.Ref, digits: m.Digits, caller: m.Caller, session: m.Says.Session,
+		donor: m.Says.Marks&isup.Donor != 0, beganAt: x.now, leavesAt: x.now + left, hops: hopsAtStart}
 	if transit {
 		k.hops = m.Hops - 1
 	}
@@ -295,6 +296,10 @@
 		says.Has |= isup.PartRoute
 		says.Dest, says.Table = uint16(k.ask.Dest), k.version
 	}
+	if k.session != "" {
+		says.Has |= isup.PartSession
+		says.Session = k.session
+	}
 	x.out.Transmit(k.out.hop, isup.Message{CIC: k.out.bundle.CIC, Type: isup.IAM, Digits: k.digits, Caller: k.caller, Width: k.ask.Width,
 		Slots: k.out.bundle.Slots, Hops: k.hops, Ref: k.ref, Says: says})
 }
@@ -303,7 +308,8 @@
 func (x *Exchange) stand(k *call, says isup.Says) {
 	x.become(k, Standing)
 	x.answered(k, Stood, 0)
-	x.out.Transmit(k.in.hop, isup.Message{CIC: k.in.bundle.CIC, Type: isup.ANM})
+	x.out.Transmit(k.in.hop, isup.Message{CIC: k.in.bundle.CIC, Type: isup.ANM,
+		Says: isup.Says{Has: says.Has & isup.PartSession, Session: says.Session}})
 	if k.decided {
 		x.decide.Stands(x.now, k.id, k.tries-1)
 	}
--- /dev/null
+++ b/internal/gateways/weight.go
@@ -0,0 +1,7 @@
+package gateways
+
+import "github.com/cespare/xxhash/v2"
+
+func weightOf(gateway, controller string) uint64 {
+	return max(1, xxhash.Sum64String(gateway+"\x00"+controller))
+}
--- a/internal/isup/isup.go
+++ b/internal/isup/isup.go
@@ -43,6 +43,7 @@
 const (
 	NormalClearing    Cause = 16
 	UserBusy          Cause = 17
+	NoAnswer          Cause = 19 // the called user does not answer
 	OutOfOrder        Cause = 27 // destination out of order
 	NormalUnspecified Cause = 31
 	NoCircuit         Cause = 34
--- a/internal/isup/isup_test.go
+++ b/internal/isup/isup_test.go
@@ -25,7 +25,7 @@
 	}
 	if m.Type == IAM || m.Type == ACM || m.Type == ANM || m.Type == REL || m.Type == RLC {
 		s := &m.Says
-		s.Has = Part(rapid.Uint8Max(31).Draw(t, "has"))
+		s.Has = Part(rapid.Uint8Max(63).Draw(t, "has"))
 		if s.Has&PartLeft != 0 {
 			s.Left, s.Stamp = rapid.Uint32().Draw(t, "left"), rapid.Uint32().Draw(t, "stamp")
 		}
@@ -35,6 +35,9 @@
 		if s.Has&PartComeBack != 0 {
 			s.ComeBack = rapid.Uint32().Draw(t, "come back")
 		}
+		if s.Has&PartSession != 0 {
+			s.Session = rapid.StringMatching(`[a-z=\n]{0,200}`).Draw(t, "session")
+		}
 		if s.Has&PartRoute != 0 {
 			s.Dest, s.Table = rapid.Uint16().Draw(t, "dest"), rapid.Uint64().Draw(t, "table")
 		}
--- a/internal/isup/says.go
+++ b/internal/isup/says.go
@@ -15,6 +15,7 @@
 	Marks    uint8  // Redial, CutBefore, Donor
 	Dest     uint16 // exchange that the call's table found, where it began
 	Table    uint64 // and the version of that table
+	Session  string // where the sender's side of the call takes media (SDP, RFC 4566), for gateways at both ends
 }
 
 // Part names a part of Says.
@@ -26,6 +27,7 @@
 	PartComeBack
 	PartCall
 	PartRoute
+	PartSession
 )
 
 // Marks of a call.
@@ -43,6 +45,11 @@
 	elementComeBack = 3
 	elementCall     = 4
 	elementRoute    = 5
+	elementSession  = 6
+
+	// SessionMost is the longest session description that rides along: an octet counts the whole of the information, and the
+	// other parts take up to 41.
+	SessionMost = 200
 )
 
 func (s Says) any() bool { return s.Has != 0 }
@@ -75,6 +82,9 @@
 		buf = binary.BigEndian.AppendUint16(buf, s.Dest)
 		buf = binary.BigEndian.AppendUint64(buf, s.Table)
 	}
+	if s.Has&PartSession != 0 && len(s.Session) <= SessionMost { // a longer one is left out: the far side falls back on its own
+		buf = append(append(buf, elementSession, byte(len(s.Session))), s.Session...)
+	}
 	buf[size] = byte(len(buf) - size - 1)
 	return buf
 }
@@ -108,7 +118,10 @@
 		case name == elementRoute && len(v) == 10:
 			s.Has |= PartRoute
 			s.Dest, s.Table = binary.BigEndian.Uint16(v), binary.BigEndian.Uint64(v[2:])
-		case name >= elementLeft && name <= elementRoute:
+		case name == elementSession && len(v) <= SessionMost:
+			s.Has |= PartSession
+			s.Session = string(v)
+		case name >= elementLeft && name <= elementSession:
 			return bad("user-to-user element %d of %d octets", name, len(v))
 		}
 		b = b[2+len(v):]
--- a/internal/lag/lag.go
+++ b/internal/lag/lag.go
@@ -34,3 +34,16 @@
 	}
 	return max(0, policy.Tenths(d-least))
 }
+
+// Begin knows from the first what a message's way takes: the far end was asked for its clock at one instant and its stamp was
+// read at another. Where the two are as far apart as a stall the answer lay unread, and the far end's clock is taken to be of
+// the instant at which it was asked. Without this the first messages of a link that came up as the process stood still all
+// seemed new, and their callers were answered after they had left.
+func Begin(asked, read policy.Tenths, stamp uint32) Lag {
+	at := read
+	if read-asked >= stallMin {
+		at = asked
+	}
+	d := int32(uint32(at) - stamp)
+	return Lag{now: d, before: d, since: read, known: true}
+}
--- a/internal/lag/lag_test.go
+++ b/internal/lag/lag_test.go
@@ -34,3 +34,12 @@
 		}
 	}
 }
+
+func TestFirstMessagesAfterAStallAreOld(t *testing.T) {
+	for _, c := range []struct{ read, want policy.Tenths }{{1010, 18990}, {20000, 19000}} { // the greeting was read at once, or after the stall
+		l := Begin(1000, c.read, 500)
+		if got := l.Age(20000, 500); got != c.want {
+			t.Errorf("greeting read at %d: age %d, want %d", c.read, got, c.want)
+		}
+	}
+}
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -1,9 +1,12 @@
 package mgcp
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"indigodrift/policy"
 )
 
@@ -39,6 +42,9 @@
 type Out interface {
 	Transmit(m Message, repeat int)        // put it on the wire; repeat counts from 0
 	Ended(id uint32, fate Fate, r Message) // r is the response when it was answered
+	// Contradicted tells that a command which is over was answered again, otherwise: the first answer counts, but the peer may
+	// hold what it said the second time.
+	Contradicted(id uint32, first int, r Message)
 }
 
 type sent struct {
@@ -50,25 +56,33 @@
 	suspect bool
 }
 
+// over is a command that was answered or given up: its id must not be used again until then.
+type over struct {
+	until policy.Tenths
+	code  int // of the answer, 0 none
+	what  uint64
+}
+
 // Sender sees commands to one peer through: repeats them with a wait that follows how long answers take and doubles, gives
 // them up after TMax, and acknowledges final responses that ask for it.
 type Sender struct {
-	out    Out
-	chance *rand.Rand
-	open   map[uint32]*sent
-	order  []uint32 // as sent
-	nextID uint32
-	mean   float64 // answer time, tenths
-	dev    float64
-	told   bool
-	held   policy.Tenths            // the wait that a repeated command had come to, until one is answered without a repeat
-	late   map[uint32]policy.Tenths // given up or answered: the id must not be used again until then
-	acks   []uint32                 // answered, to be acknowledged with the next command (K parameter)
+	out     Out
+	chance  *rand.Rand
+	open    map[uint32]*sent
+	order   []uint32 // as sent
+	nextID  uint32
+	mean    float64 // answer time, tenths
+	dev     float64
+	told    bool
+	held    policy.Tenths   // the wait that a repeated command had come to, until one is answered without a repeat
+	late    map[uint32]over // given up or answered
+	sweepAt policy.Tenths
+	acks    []uint32 // answered, to be acknowledged with the next command (K parameter)
 }
 
 // NewSender starts with an id; the one after the last must be kept over a restart of the program, or drawn at random.
 func NewSender(firstID uint32, seed uint64, out Out) *Sender {
-	return &Sender{out: out, chance: rand.New(rand.NewPCG(seed, 0x17)), open: map[uint32]*sent{}, nextID: firstID%idMost + 1, late: map[uint32]policy.Tenths{}}
+	return &Sender{out: out, chance: rand.New(rand.NewPCG(seed, 0x17)), open: map[uint32]*sent{}, nextID: firstID%idMost + 1, late: map[uint32]over{}}
 }
 
 // rto is the wait before the first repeat: the mean answer time and some deviations.
@@ -85,8 +99,8 @@
 // Send sends a command under a new transaction id and returns it.
 func (s *Sender) Send(now policy.Tenths, m Message) uint32 {
 	for {
-		at, used := s.late[s.nextID]
-		if s.open[s.nextID] == nil && (!used || now >= at) {
+		was, used := s.late[s.nextID]
+		if s.open[s.nextID] == nil && (!used || now >= was.until) {
 			break
 		}
 		s.nextID = s.nextID%idMost + 1
@@ -116,11 +130,14 @@
 func (s *Sender) Response(now policy.Tenths, r Message) {
 	t := s.open[r.Transaction]
 	if t == nil {
+		if was := s.late[r.Transaction]; was.code != 0 && !r.IsProvisional() && was.what != digest(r) {
+			s.out.Contradicted(r.Transaction, was.code, r)
+		}
 		return
 	}
 	if r.IsProvisional() {
 		t.long = true
-		t.dueAt = now + longTimer
+		t.dueAt = min(now+longTimer, t.first+TMax) // unbounded, a late provisional response kept a dead command past TMax
 		return
 	}
 	// An answer to a repeat may be the answer to the first and tells no time; the next command starts with the wait that this
@@ -143,13 +160,14 @@
 	} else {
 		s.acks = append(s.acks, r.Transaction)
 	}
-	s.close(now, r.Transaction)
+	s.close(now, r.Transaction, over{code: r.Code, what: digest(r)})
 	s.out.Ended(r.Transaction, Answered, r)
 }
 
-func (s *Sender) close(now policy.Tenths, id uint32) {
+func (s *Sender) close(now policy.Tenths, id uint32, o over) {
 	delete(s.open, id)
-	s.late[id] = now + THist
+	o.until = now + THist
+	s.late[id] = o
 	for len(s.order) > 0 && s.open[s.order[0]] == nil {
 		s.order = s.order[1:]
 	}
@@ -163,7 +181,7 @@
 			continue
 		}
 		if now-t.first >= TMax || t.repeats >= goneAt && !t.long {
-			s.close(now, id)
+			s.close(now, id, over{})
 			s.out.Ended(id, Gone, Message{})
 			continue
 		}
@@ -179,8 +197,12 @@
 			s.out.Ended(id, Suspect, Message{})
 		}
 	}
-	for id, at := range s.late { // bounded by what was sent within THist
-		if now >= at {
+	if now < s.sweepAt {
+		return
+	}
+	s.sweepAt = now + THist/8
+	for id, was := range s.late { // bounded by what was sent within THist and the time between two sweeps
+		if now >= was.until {
 			delete(s.late, id)
 		}
 	}
@@ -189,10 +211,13 @@
 // Cancel gives a command up without a word: nobody waits for its answer any more.
 func (s *Sender) Cancel(now policy.Tenths, id uint32) {
 	if s.open[id] != nil {
-		s.close(now, id)
+		s.close(now, id, over{})
 	}
 }
 
+// Wait is how long the first repeat of a command is waited for now.
+func (s *Sender) Wait() policy.Tenths { return s.rto() }
+
 // Next is when Tick must be called next; false when nothing is out.
 func (s *Sender) Next() (at policy.Tenths, ok bool) {
 	for _, id := range s.order {
@@ -211,6 +236,7 @@
 }
 
 type kept struct {
+	what     uint64 // digest of the command
 	response Message
 	done     bool
 	until    policy.Tenths
@@ -222,7 +248,10 @@
 // Command takes a command. carryOut: it is new, and Done must follow; else reply, if any, goes back.
 func (r *Receiver) Command(now policy.Tenths, m Message) (carryOut bool, reply *Message) {
 	r.forget(now)
-	if k := r.kept[m.Transaction]; k != nil {
+	what := digest(m)
+	// Another command under an id that is still kept is no repeat: a gateway that restarts may count from where it counted
+	// before, and its off-hook was answered with the answer to an old one and lost.
+	if k := r.kept[m.Transaction]; k != nil && k.what == what {
 		if k.done {
 			return false, &k.response
 		}
@@ -231,7 +260,7 @@
 	if len(r.kept) >= keptMost { // memory stays bounded: an overloaded peer is told so (403: no resources now)
 		return false, &Message{Transaction: m.Transaction, Code: 403, Comment: "too many transactions"}
 	}
-	r.kept[m.Transaction] = &kept{until: now + THist}
+	r.kept[m.Transaction] = &kept{what: what, until: now + THist}
 	r.order = append(r.order, m.Transaction)
 	return true, nil
 }
@@ -264,6 +293,21 @@
 	}
 }
 
+// digest tells messages apart that share an id. Repeats are the same octets; only acknowledgements that ride along (K) may
+// differ between them.
+func digest(m Message) uint64 {
+	h := xxhash.New()
+	fmt.Fprint(h, m.Verb, m.Endpoint, m.Code)
+	for _, p := range m.Params {
+		if p.Name != "K" {
+			h.WriteString(p.Name + ":" + p.Value + "\n")
+		}
+	}
+	h.Write(m.Session)
+	h.Write(m.Second)
+	return h.Sum64()
+}
+
 // Kept counts the responses kept.
 func (r *Receiver) Kept() int { return len(r.kept) }
 
--- a/internal/mgcp/transaction_test.go
+++ b/internal/mgcp/transaction_test.go
@@ -27,6 +27,7 @@
 	ended   map[uint32]Fate
 	sends   int
 	broken  []string
+	against []int // codes of second answers
 }
 
 type packet struct {
@@ -189,3 +190,37 @@
 		t.Fatal(got)
 	}
 }
+
+func (w *wire) Contradicted(id uint32, first int, r Message) { w.against = append(w.against, r.Code) }
+
+// The first of two different answers counts, and the second is told of; a repeat of the first is not.
+func TestSecondOtherAnswerIsToldOf(t *testing.T) {
+	w := newWire(3)
+	id := w.s.Send(w.now, Message{Verb: CreateConnection, Endpoint: "a@b"})
+	answer := Message{Transaction: id, Code: 200, Params: []Param{{"I", "1"}}}
+	w.s.Response(w.now+10, answer)
+	w.s.Response(w.now+20, answer)
+	w.s.Response(w.now+30, Message{Transaction: id, Code: 200, Params: []Param{{"I", "2"}}})
+	if w.ended[id] != Answered || len(w.against) != 1 || len(w.broken) > 0 {
+		t.Fatal(w.ended, w.against, w.broken)
+	}
+}
+
+// A gateway that counts anew uses an id again while the answer to the old command is kept: the new command is carried out.
+func TestOtherCommandUnderAKeptIdIsCarriedOut(t *testing.T) {
+	r := NewReceiver()
+	off := Message{Verb: Notify, Transaction: 7, Endpoint: "a@b", Params: []Param{{"X", "1"}, {"O", "L/hd"}}}
+	on := Message{Verb: Notify, Transaction: 7, Endpoint: "a@b", Params: []Param{{"X", "2"}, {"O", "L/hu"}}}
+	for i, c := range []struct {
+		m    Message
+		want bool
+	}{{off, true}, {off, false}, {on, true}, {on, false}} {
+		carryOut, reply := r.Command(policy.Tenths(1000+i), c.m)
+		if carryOut != c.want || carryOut == (reply != nil) {
+			t.Fatalf("command %d: carried out %v, reply %v", i, carryOut, reply)
+		}
+		if carryOut {
+			r.Done(policy.Tenths(1000+i), Message{Transaction: 7, Code: 200})
+		}
+	}
+}
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -377,7 +377,7 @@
 		return
 	}
 	s.peers[p.point] = p
-	s.send(p, m3ua.Frame{Kind: m3ua.UpAck, ASP: uint32(exchange.Point(s.Number)), Info: fmt.Sprintf("life=%d", s.lives)})
+	s.send(p, m3ua.Frame{Kind: m3ua.UpAck, ASP: uint32(exchange.Point(s.Number)), Info: fmt.Sprintf("life=%d clock=%d", s.lives, s.clock())})
 	s.mu.Unlock()
 	for err == nil {
 		if f, scratch, err = m3ua.Read(c, scratch); err != nil {
@@ -544,7 +544,7 @@
 			return
 		}
 		m.Says.Left -= waited
-		m.Says.Stamp = uint32(time.Since(s.bootAt) / (100 * time.Microsecond))
+		m.Says.Stamp = s.clock()
 	}
 	if p != nil && from < exchange.Lines && m.Type == isup.IAM {
 		s.log.Add(audit.Event{Kind: audit.In, Site: s.Number, Peer: int(from) - 1, Ref: m.Ref, CIC: m.CIC, Slots: m.Slots})
@@ -568,6 +568,9 @@
 	s.write(p, from, own, m)
 }
 
+// clock is what stamps count with.
+func (s *Switch) clock() uint32 { return uint32(time.Since(s.bootAt) / (100 * time.Microsecond)) }
+
 // back sends a message of the own controller, or a refusal of the switch itself, to the exchange whose call it concerns.
 func (s *Switch) back(to uint32, m isup.Message, wait time.Duration) {
 	if time.Since(s.seenAt) >= s.work.ReportEvery {
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +30,7 @@
 
 // Sink takes what happens to a link, one call at a time for each link. Frame's octets are valid until it returns.
 type Sink interface {
-	Up(link int, life string)
+	Up(link int, g Greeting)
 	Frame(link int, f m3ua.Frame) error // an error costs the link
 	Down(link int, err error)
 }
@@ -118,7 +120,7 @@
 		case <-stop:
 		}
 	})
-	life, scratch, err := l.greet(conn)
+	g, scratch, err := l.greet(conn)
 	if err != nil {
 		return false, fmt.Errorf("greet %s: %w", l.line.Address, err)
 	}
@@ -128,7 +130,7 @@
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
-	l.sink.Up(l.line.Link, life)
+	l.sink.Up(l.line.Link, g)
 	failed := make(chan error, 2)
 	all.Go(func() { failed <- l.write(conn, stop) })
 	all.Go(func() { failed <- l.watch(&pulse, conn, stop) })
@@ -143,25 +145,48 @@
 	return true, err
 }
 
-func (l *Link) greet(conn net.Conn) (life string, scratch []byte, err error) {
+// Greeting is what the far end said as the link came up, and when.
+type Greeting struct {
+	Life        string // which of its starts this is
+	Clock       uint32 // its stamps count with this clock, in tenths of a millisecond
+	HasClock    bool
+	Asked, Read policy.Tenths
+}
+
+func (l *Link) greet(conn net.Conn) (g Greeting, scratch []byte, err error) {
 	hello, err := m3ua.Append(nil, m3ua.Frame{Kind: m3ua.Up, ASP: l.line.Own})
 	if err != nil {
-		return "", nil, err
+		return g, nil, err
 	}
 	if err := conn.SetDeadline(time.Now().Add(greetWithin)); err != nil {
-		return "", nil, fmt.Errorf("deadline: %w", err)
+		return g, nil, fmt.Errorf("deadline: %w", err)
 	}
+	g.Asked = l.clock.Now()
 	if _, err := conn.Write(hello); err != nil {
-		return "", nil, fmt.Errorf("write: %w", err)
+		return g, nil, fmt.Errorf("write: %w", err)
 	}
 	f, scratch, err := m3ua.Read(conn, nil)
 	if err != nil {
-		return "", nil, err
+		return g, nil, err
 	}
 	if f.Kind != m3ua.UpAck || f.ASP != l.line.Peer {
-		return "", nil, fmt.Errorf("%w: kind %04x, point code %d in place of %d", ErrStranger, uint16(f.Kind), f.ASP, l.line.Peer)
+		return g, nil, fmt.Errorf("%w: kind %04x, point code %d in place of %d", ErrStranger, uint16(f.Kind), f.ASP, l.line.Peer)
+	}
+	g.Read = l.clock.Now()
+	for _, part := range strings.Fields(f.Info) {
+		name, v, _ := strings.Cut(part, "=")
+		switch name {
+		case "life":
+			g.Life = v
+		case "clock":
+			n, err := strconv.ParseUint(v, 10, 32)
+			if err != nil {
+				return g, nil, fmt.Errorf("%w: clock %q", ErrStranger, v)
+			}
+			g.Clock, g.HasClock = uint32(n), true
+		}
 	}
-	return f.Info, scratch, conn.SetDeadline(time.Time{})
+	return g, scratch, conn.SetDeadline(time.Time{})
 }
 
 func (l *Link) read(conn net.Conn, scratch []byte, p *pulse) error {
