Call agent for MGCP gateways, pure, joined with the station over UDP

Cause: a phone at a gateway could not reach the exchange. internal/callagent keeps a table of states for each line, holds what each endpoint should be like and what it is known to be like, and sends the one command that brings the two closer. internal/control gives it a socket and the exchange; settings have a block gateways.

--- /dev/null
+++ b/internal/callagent/session.go
@@ -0,0 +1,42 @@
+package callagent
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/pion/sdp/v3"
+
+	"indigodrift/internal/isup"
+)
+
+// readSession checks a session description (RFC 4566): an audio stream with a port, and an address for it. One that is too long
+// to ride along to another exchange is cut down to what says where media goes. Media is never carried here.
+func readSession(text []byte) (string, error) {
+	var s sdp.SessionDescription
+	if len(text) == 0 {
+		return "", errors.New("no session description")
+	}
+	if err := s.Unmarshal(text); err != nil {
+		return "", fmt.Errorf("session description: %w", err)
+	}
+	for _, m := range s.MediaDescriptions {
+		c := m.ConnectionInformation
+		if c == nil {
+			c = s.ConnectionInformation
+		}
+		if m.MediaName.Media != "audio" || m.MediaName.Port.Value == 0 || c == nil || c.Address == nil {
+			continue
+		}
+		if len(text) <= isup.SessionMost {
+			return string(text), nil
+		}
+		return ownSession(c.Address.Address, m.MediaName.Port.Value), nil
+	}
+	return "", errors.New("session description without an audio stream that has a port and an address")
+}
+
+// ownSession describes PCMU at an address and a port.
+func ownSession(address string, port int) string {
+	return "v=0\r\no=- 0 0 IN IP4 " + address + "\r\ns=-\r\nc=IN IP4 " + address + "\r\nt=0 0\r\nm=audio " + strconv.Itoa(port) + " RTP/AVP 0\r\n"
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,10 +38,11 @@
 	OwnSwitch  string
 	Register   string
 	Neighbours []Neighbour
-	Inbox      int      // messages that may wait to be handled
-	LinkMost   int      // octets that may wait on one link
-	Control    string   // address that takes operators' orders, "" none
-	Numbers    *Numbers // nil: the first digits of a number name the exchange
+	Inbox      int       // messages that may wait to be handled
+	LinkMost   int       // octets that may wait on one link
+	Control    string    // address that takes operators' orders, "" none
+	Numbers    *Numbers  // nil: the first digits of a number name the exchange
+	Gateways   *Gateways // nil: no phones at MGCP gateways
 }
 
 // Build makes the deciding module of an exchange.
@@ -75,6 +76,7 @@
 	evLost
 	evDo
 	evPort
+	evDatagram
 )
 
 type event struct {
@@ -90,6 +92,7 @@
 	do     func()
 	port   enum.Answer
 	id     uint32
+	mgcp   datagram
 }
 
 // Station is one running exchange.
@@ -110,7 +113,10 @@
 	behind map[uint32]int // point code: index of the neighbour
 	tables *tables
 	orders net.Listener
+	agent  *agent
 	Ready  func() // called once when the own switch first answers
+	// ListenPacket opens the socket that gateways are spoken to through; tests have it in memory.
+	ListenPacket func(address string) (net.PacketConn, error)
 	// Sent, if set, stands between the exchange and the links: scripted days alone set it, to plant a broken rule.
 	Sent func(to exchange.Hop, m isup.Message, send func(exchange.Hop, isup.Message))
 }
@@ -119,7 +125,8 @@
 func New(site Site, build Build, dial trunk.Dialer, log *slog.Logger) (*Station, error) {
 	s := &Station{site: site, log: log, clock: &clock{base: time.Now()}, view: membership.NewView(site.Exchanges),
 		inbox: make(chan event, site.Inbox), done: make(chan struct{}), behind: map[uint32]int{},
-		lags: make([]lag.Lag, len(site.Neighbours)+1), Ready: func() {}}
+		lags: make([]lag.Lag, len(site.Neighbours)+1), Ready: func() {},
+		ListenPacket: func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }}
 	var near []exchange.Neighbour
 	own := uint32(exchange.Point(site.Deployment.Own))
 	line := trunk.Line{Own: own, Most: site.LinkMost, Links: len(site.Neighbours) + 1}
@@ -140,6 +147,9 @@
 			return nil, err
 		}
 	}
+	if site.Gateways != nil {
+		s.agent = newAgent(s, site.Gateways)
+	}
 	if site.Control != "" {
 		var err error
 		if s.orders, err = net.Listen("tcp", site.Control); err != nil {
@@ -167,6 +177,14 @@
 	if s.orders != nil {
 		all.Go(func() { s.takeOrders(carrying, s.orders) })
 	}
+	if s.agent != nil {
+		if err := s.agent.open(carrying, &all); err != nil {
+			stop()
+			close(s.done)
+			all.Wait()
+			return err
+		}
+	}
 	err := s.loop(ctx)
 	if err == nil {
 		time.Sleep(lastWords)
@@ -183,7 +201,7 @@
 	quit, drainBy := ctx.Done(), policy.Tenths(0)
 	for {
 		now := s.clock.Now()
-		next := s.x.Next()
+		next := min(s.x.Next(), s.agent.next())
 		s.stood(s.stall.Works(now))
 		until, reading := s.stall.Reading(now)
 		if reading {
@@ -193,6 +211,7 @@
 		}
 		if next <= now {
 			s.x.Tick(now)
+			s.agent.tick(now)
 			if quit == nil && s.x.Unanswered() == 0 {
 				return nil
 			}
@@ -283,6 +302,7 @@
 
 func (s *Station) handle(ev event) {
 	now := s.clock.Now()
+	defer s.agent.settle(now)
 	own := ev.link == len(s.links)-1
 	switch ev.kind {
 	case evMessage:
@@ -324,6 +344,8 @@
 		s.x.ListLost(now)
 	case evDo:
 		ev.do()
+	case evDatagram:
+		s.agent.datagram(now, ev.mgcp)
 	case evPort:
 		s.x.Change(now, func(n *exchange.Numbering) {
 			if ev.err != nil {
@@ -434,6 +456,9 @@
 // Transmit sends a message.
 func (h *hands) Transmit(to exchange.Hop, m isup.Message) {
 	s := (*Station)(h)
+	if to.Side == exchange.Line && s.agent.hears(to.Point, m) {
+		return
+	}
 	if s.Sent != nil {
 		s.Sent(to, m, func(to exchange.Hop, m isup.Message) { s.buf = s.transmit(s.buf, to, m) })
 		return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,9 @@
 	Point uint16 // block of lines (Line)
 }
 
+// atGateway tells whether a line is a phone at a gateway, which is told without the own switch.
+func (h Hop) atGateway() bool { return h.Side == Line && h.Point >= AtGateways && h.Point < CalledFrom }
+
 // Outcome is the final answer of a call.
 type Outcome uint8
 
@@ -575,12 +578,15 @@
 func (x *Exchange) vanish(k *call, cause isup.Cause) {
 	if k.decided && k.state != Standing {
 		x.decide.CallerLeft(x.now, k.id)
+		if k.in.hop.atGateway() {
+			x.answered(k, Failed, 0)
+		}
 		x.answered(k, Left, 0)
 	} else if k.decided {
 		x.later = append(x.later, report{id: k.id, try: k.tries - 1, sw: k.sw, end: policy.Cut, final: true})
 	}
 	x.dropTry(k, cause)
-	if k.in.hop.Side == Behind {
+	if k.in.hop.Side == Behind || k.in.hop.atGateway() { // a gateway's phone can still be told, whatever became of the switch
 		x.release(k.in, isup.Message{Type: isup.REL, Cause: cause, Location: isup.LocalNetwork})
 	}
 	x.become(k, Over)
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -16,9 +17,10 @@
 
 // Net is one network.
 type Net struct {
-	mu     sync.Mutex
-	doors  map[string]*door
-	number int
+	mu      sync.Mutex
+	doors   map[string]*door
+	sockets map[netip.AddrPort]*Packet
+	number  int
 }
 
 type door struct {
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -38,7 +39,7 @@
 	Gone          // given up: the peer is held to be disconnected
 )
 
-// Out is what a Sender asks for. Its methods must not call back.
+// Out is what a Sender asks for. Ended may send, Transmit must not call back.
 type Out interface {
 	Transmit(m Message, repeat int)        // put it on the wire; repeat counts from 0
 	Ended(id uint32, fate Fate, r Message) // r is the response when it was answered
@@ -70,7 +71,7 @@
 	chance  *rand.Rand
 	open    map[uint32]*sent
 	order   []uint32 // as sent
-	nextID  uint32
+	ids     *IDs
 	mean    float64 // answer time, tenths
 	dev     float64
 	told    bool
@@ -80,9 +81,21 @@
 	acks    []uint32 // answered, to be acknowledged with the next command (K parameter)
 }
 
-// NewSender starts with an id; the one after the last must be kept over a restart of the program, or drawn at random.
-func NewSender(firstID uint32, seed uint64, out Out) *Sender {
-	return &Sender{out: out, chance: rand.New(rand.NewPCG(seed, 0x17)), open: map[uint32]*sent{}, nextID: firstID%idMost + 1, late: map[uint32]over{}}
+// IDs counts transaction ids for all the senders of one party, so that a response tells by its id alone whose it is.
+type IDs struct{ next uint32 }
+
+// NewIDs starts with an id; the one after the last must be kept over a restart of the program, or drawn at random.
+func NewIDs(first uint32) *IDs { return &IDs{first%idMost + 1} }
+
+func (n *IDs) take() uint32 {
+	id := n.next
+	n.next = id%idMost + 1
+	return id
+}
+
+// NewSender makes a sender that has nothing out.
+func NewSender(ids *IDs, seed uint64, out Out) *Sender {
+	return &Sender{out: out, chance: rand.New(rand.NewPCG(seed, 0x17)), open: map[uint32]*sent{}, ids: ids, late: map[uint32]over{}}
 }
 
 // rto is the wait before the first repeat: the mean answer time and some deviations.
@@ -98,15 +111,12 @@
 
 // Send sends a command under a new transaction id and returns it.
 func (s *Sender) Send(now policy.Tenths, m Message) uint32 {
-	for {
-		was, used := s.late[s.nextID]
-		if s.open[s.nextID] == nil && (!used || now >= was.until) {
+	for m.Transaction = s.ids.take(); ; m.Transaction = s.ids.take() {
+		was, used := s.late[m.Transaction]
+		if s.open[m.Transaction] == nil && (!used || now >= was.until) {
 			break
 		}
-		s.nextID = s.nextID%idMost + 1
 	}
-	m.Transaction = s.nextID
-	s.nextID = s.nextID%idMost + 1
 	delete(s.late, m.Transaction)
 	if len(s.acks) > 0 {
 		m.Params = append([]Param{{"K", ranges(s.acks)}}, m.Params...)
@@ -215,6 +225,18 @@
 	}
 }
 
+// CancelAll gives up all that is out, as when the peer has restarted and knows of none of it. It returns the ids.
+func (s *Sender) CancelAll(now policy.Tenths) []uint32 {
+	var all []uint32
+	for _, id := range append([]uint32(nil), s.order...) {
+		if s.open[id] != nil {
+			s.close(now, id, over{})
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
 // Wait is how long the first repeat of a command is waited for now.
 func (s *Sender) Wait() policy.Tenths { return s.rto() }
 
@@ -293,6 +315,25 @@
 	}
 }
 
+// ParseRanges reads ids as the K parameter has them. What is no range is passed over, and a range that is too wide.
+func ParseRanges(text string) (ids []uint32) {
+	for _, part := range strings.Split(text, ",") {
+		first, last, two := strings.Cut(strings.TrimSpace(part), "-")
+		if !two {
+			last = first
+		}
+		from, err := strconv.ParseUint(strings.TrimSpace(first), 10, 32)
+		to, err2 := strconv.ParseUint(strings.TrimSpace(last), 10, 32)
+		if err != nil || err2 != nil || to < from || to-from > keptMost {
+			continue
+		}
+		for id := from; id <= to && len(ids) < keptMost; id++ {
+			ids = append(ids, uint32(id))
+		}
+	}
+	return ids
+}
+
 // digest tells messages apart that share an id. Repeats are the same octets; only acknowledgements that ride along (K) may
 // differ between them.
 func digest(m Message) uint64 {
--- a/internal/mgcp/transaction_test.go
+++ b/internal/mgcp/transaction_test.go
@@ -38,7 +38,7 @@
 
 func newWire(seed uint64) *wire {
 	w := &wire{now: 1000000, r: NewReceiver(), chance: rand.New(rand.NewPCG(seed, 1)), carried: map[uint32]int{}, ended: map[uint32]Fate{}, work: 50}
-	w.s = NewSender(5, seed, w)
+	w.s = NewSender(NewIDs(5), seed, w)
 	return w
 }
 
@@ -172,7 +172,7 @@
 
 func TestIdsAreNotUsedAgainBeforeTheirTime(t *testing.T) {
 	w := newWire(2)
-	w.s.nextID = idMost - 1
+	w.s.ids.next = idMost - 1
 	seen := map[uint32]policy.Tenths{}
 	for range 30 {
 		id := w.s.Send(w.now, Message{Verb: AuditEndpoint, Endpoint: "a@b"})
@@ -181,7 +181,7 @@
 		}
 		seen[id] = w.now
 		w.pass(500)
-		w.s.nextID = idMost - 1 // as if a thousand million commands had passed
+		w.s.ids.next = idMost - 1 // as if a thousand million commands had passed
 	}
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -8,10 +8,13 @@
 	"strings"
 	"time"
 
+	"indigodrift/internal/callagent"
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/control"
 	"indigodrift/internal/exchange"
 	"indigodrift/internal/hclread"
+	"indigodrift/internal/isup"
+	"indigodrift/internal/mgcp"
 	"indigodrift/internal/numbers"
 	"indigodrift/policy"
 )
@@ -19,6 +22,8 @@
 const (
 	exchangesMost = 999 // called numbers begin with three digits of the exchange
 	forever       = 24 * time.Hour
+	linesMost     = 1_000_000 // called numbers end with six digits of the line
+	agentLines    = 256 * (isup.CICMost + 1)
 )
 
 // Read takes a site file. Its error has a line for each fault, with file, line, column and reason.
@@ -53,7 +58,11 @@
 	if all := b.Blocks("numbers", false); len(all) > 0 {
 		s.Numbers = numbering(b.Only("numbers", false))
 	}
-	d.Bearers = Bearers(b, nil)
+	names := map[string]int{}
+	d.Bearers = Bearers(b, func(n *hclread.Block) { names[n.Label] = len(names) })
+	if len(b.Blocks("gateways", false)) > 0 {
+		s.Gateways = gateways(b.Only("gateways", false), d, names)
+	}
 	seen := map[int]bool{}
 	for _, n := range b.Blocks("neighbour", true) {
 		near := control.Neighbour{Neighbour: exchange.Neighbour{Number: n.Whole("exchange", 0, exchangesMost-1, -1),
@@ -115,6 +124,70 @@
 	return all
 }
 
+// gateways reads what a site says of its MGCP gateways.
+func gateways(b *hclread.Block, d *policy.Deployment, bearers map[string]int) *control.Gateways {
+	g := &control.Gateways{Listen: b.Address("listen", false)}
+	g.Own, g.Point, g.Seed = d.Own, exchange.Point(d.Own), d.Seed
+	g.DialMost = b.Span("dial_most", time.Second, time.Hour, 20*time.Second)
+	g.RingMost = b.Span("ring_most", time.Second, time.Hour, time.Minute)
+	g.Rate = b.Number("restarts_per_second", 0.1, 1e6, 200)
+	g.Queue = b.Whole("restarts_queue", 1, 1<<20, 16384)
+	g.Media = b.Text("media", false, "127.0.0.1")
+	if _, err := netip.ParseAddr(g.Media); err != nil {
+		b.FaultAt("media", "%q is not an address", g.Media)
+	}
+	var err error
+	if g.Map, err = mgcp.ParseMap(b.Text("digit_map", false, "(xxxxxxxxx)")); err != nil {
+		b.FaultAt("digit_map", "%v", err)
+	}
+	g.Notified = b.Texts("notified")
+	g.Self = b.Whole("notified_self", 0, max(0, len(g.Notified)-1), 0)
+	for _, t := range d.Bearers {
+		g.Abandon = append(g.Abandon, t.Abandon)
+		if g.GoS == 0 || t.GoSTarget < g.GoS {
+			g.GoS = t.GoSTarget
+		}
+	}
+	names, lines := map[string]bool{}, map[int]string{}
+	for _, n := range b.Blocks("gateway", true) {
+		one := callagent.Gateway{Name: n.Text("name", false, n.Label), Endpoints: n.Whole("endpoints", 1, 4096, 0), Width: n.Whole("width", 1, isup.WidthMost, 1),
+			FirstLine: n.Whole("first_line", 0, linesMost-1, -1)}
+		for _, text := range n.Texts("addresses") {
+			at, err := netip.ParseAddrPort(text)
+			if err != nil {
+				n.FaultAt("addresses", "%q is not an address with a port", text)
+			}
+			one.Addresses = append(one.Addresses, at)
+		}
+		bearer, ok := bearers[n.Text("bearer", true, "")]
+		if !ok {
+			n.FaultAt("bearer", "there is no such bearer type")
+		}
+		one.Bearer = bearer
+		switch {
+		case names[strings.ToLower(one.Name)]:
+			n.Fault("a gateway named %q stands twice", one.Name)
+		case one.FirstLine+one.Endpoints > linesMost:
+			n.FaultAt("endpoints", "lines %d to %d, but numbers of lines are below %d", one.FirstLine, one.FirstLine+one.Endpoints-1, linesMost)
+		}
+		names[strings.ToLower(one.Name)] = true
+		for line := one.FirstLine; line < one.FirstLine+one.Endpoints; line++ {
+			if other, taken := lines[line]; taken {
+				n.FaultAt("first_line", "line %d belongs to gateway %q already", line, other)
+				break
+			}
+			lines[line] = n.Label
+		}
+		n.Done()
+		g.Gateways = append(g.Gateways, one)
+	}
+	if len(lines) > agentLines {
+		b.Fault("%d endpoints, %d at most", len(lines), agentLines)
+	}
+	b.Done()
+	return g
+}
+
 // numbering reads what a site says of number analysis.
 func numbering(b *hclread.Block) *control.Numbers {
 	n := &control.Numbers{Store: b.Text("store", true, ""), Table: b.Text("table", false, ""), Callers: b.Whole("callers", 1, 1<<24, 100000),
