--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -154,3 +154,51 @@
 		}
 	}
 }
+
+// Calls from phones at gateways, on paper: what is in order, and each thing that is not.
+func TestVerdictsOnPhones(t *testing.T) {
+	ref := isup.Reference{Point: 1, Identity: 99}
+	ev := func(t int64, k Kind, slots uint32, v int64) Event {
+		return Event{At: t * ms, Kind: k, Site: 0, Peer: 2, CIC: 5, Ref: ref, Slots: slots, Value: v}
+	}
+	dialled := ev(1000, Dialled, 0, 5000*ms)
+	taken := ev(1010, Taken, 0, 0)
+	down := func(t, v int64) Event { return ev(t, GatewayDown, 0, v) }
+	for _, c := range []struct {
+		name string
+		log  []Event
+		want []int
+	}{
+		{"stands", []Event{dialled, taken, ev(1500, Final, 1, 0)}, nil},
+		{"no answer", []Event{dialled, taken}, []int{1}},
+		{"no answer to what was never taken", []Event{dialled}, nil},
+		{"no answer as the gateway was cut off", []Event{dialled, taken, down(3000, 1), down(9000, 0)}, nil},
+		{"no answer, cut off long before", []Event{down(100, 1), down(200, 0), dialled, taken}, []int{1}},
+		{"no answer, the controller killed", []Event{dialled, taken, at(3000, Killed, 0, 0)}, nil},
+		{"no answer, another controller killed", []Event{dialled, taken, at(3000, Killed, 1, 0)}, []int{1}},
+		{"every copy of the answer lost", []Event{dialled, taken, ev(2000, Swallowed, 0, 0), ev(2200, Swallowed, 0, 0), ev(2600, Swallowed, 0, 0)}, nil},
+		{"two copies lost and no third", []Event{dialled, taken, ev(2000, Swallowed, 0, 0), ev(2200, Swallowed, 0, 0)}, []int{1}},
+		{"the caller left early", []Event{dialled, taken, ev(2000, Hook, 0, 0)}, nil},
+		{"stands, and a tone at its end", []Event{dialled, taken, ev(1500, Final, 1, 0), ev(4000, Final, 2, 2)}, nil},
+		{"refused, then stands", []Event{dialled, taken, ev(1500, Final, 2, 2), ev(1700, Final, 1, 0)}, []int{1}},
+		{"refused, then failed", []Event{dialled, taken, ev(1500, Final, 2, 2), ev(1700, Final, 2, 4)}, []int{1}},
+		{"answered after its time", []Event{dialled, taken, ev(6300, Final, 2, 2)}, []int{1}},
+		{"answered after the hang-up was answered", []Event{dialled, taken, ev(2000, Hook, 0, 0), ev(2010, HungUp, 0, 0), ev(2300, Final, 1, 0)}, []int{1}},
+		{"a connection kept while the phone is off hook", []Event{ev(900, Hook, 0, 1), ev(1000, Connection, 7, 1), ev(90000, Connection, 7, 0)}, nil},
+		{"a connection that outlives its call", []Event{ev(900, Hook, 0, 1), ev(1000, Connection, 7, 1), ev(2000, Hook, 0, 0), ev(65000, Connection, 7, 0)}, []int{6}},
+		{"one that is there at the end", []Event{ev(1000, Connection, 7, 1)}, []int{6}},
+		{"one of a gateway that was cut off", []Event{ev(1000, Connection, 7, 1), down(50000, 1), down(80000, 0), ev(99000, Connection, 7, 0)}, nil},
+		{"ring at a phone that is off hook", []Event{ev(1000, Tone, 1, 5)}, []int{7}},
+		{"ring as it is being lifted", []Event{ev(1000, Tone, 3, 5)}, nil},
+		{"dial tone at a phone on hook", []Event{ev(1000, Tone, 0, 1)}, []int{7}},
+		{"dial tone at one that is off", []Event{ev(1000, Tone, 1, 1)}, nil},
+	} {
+		var got []int
+		for _, b := range Judge(append(c.log, Event{At: 100000 * ms, Kind: Ack})) {
+			got = append(got, b.Rule)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: rules %v broken, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -75,11 +75,15 @@
 		pending: map[int]map[int64]int64{}, lists: map[int]map[int64]map[int]bool{}, told: map[int]map[int]int64{},
 		stopped: map[int][]interval{}, killed: map[int][]int64{}, born: map[int]Event{}, knows: map[int]map[int]bool{},
 		window: map[int][]Event{}, pushed: map[int]bool{}, ins: map[[2]int][]Event{}, resets: map[[2]int][]Event{}}
+	p := &phones{j: j, calls: map[isup.Reference]*phoneCall{}, state: map[phoneKey]*phoneState{}, down: map[[2]int][]interval{}}
 	last := int64(0)
 	for _, e := range events {
-		j.take(e)
+		if !p.take(e) {
+			j.take(e)
+		}
 		last = e.At
 	}
+	p.finish(last)
 	for _, ref := range j.order {
 		j.unanswered(ref, last)
 	}
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -36,6 +36,17 @@
 	Stopped Kind = 'p' // controller Site is stopped, Went: goes on, Killed: is gone, or its own link is
 	Went    Kind = 'g'
 	Killed  Kind = 'q'
+
+	// Phones at gateways: Site is the exchange, Peer the gateway, CIC the endpoint, Ref the call that its user makes.
+	Dialled     Kind = 'D' // the last digit: Value is how long the caller waits, in microseconds
+	Taken       Kind = 'T' // the call agent has answered the notification of the number
+	Final       Kind = 'F' // Slots 1: speech both ways, 2: a tone that says no
+	HungUp      Kind = 'U' // the call agent has answered the notification
+	Connection  Kind = 'C' // Slots: which; Value 1 made, 0 gone
+	Tone        Kind = 'S' // Value: which; Slots bit 0: the phone is off hook, bit 1: that is not answered yet
+	Hook        Kind = 'H' // Value 1: off
+	Swallowed   Kind = 'N' // the network of the rig lost or held up a command that told the phone its answer
+	GatewayDown Kind = 'G' // Value 1: it starts anew or cannot reach its call agent, 0: it has reported
 )
 
 // Figures of the rules, in microseconds where they are spans.
--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -195,6 +195,7 @@
 type Counts struct {
 	Dialled, Stood, Refused, Failed, Rung, TurnedAway int
 	Joined, Lost, Leftovers, Contradictions, Stale    int
+	Incomplete                                        int // messages cut short
 	Sent                                              int // datagrams
 }
 
--- a/internal/callagent/door.go
+++ b/internal/callagent/door.go
@@ -42,6 +42,10 @@
 func (a *Agent) response(from netip.AddrPort, m mgcp.Message) {
 	p, ok := a.outs[m.Transaction]
 	gw := a.gatewayOf(p)
+	if ok && p.kind == outLine && !complete(p.verb, m) {
+		a.Counts.Incomplete++
+		return
+	}
 	if !ok {
 		if gw, ok = a.byAddress[from]; !ok {
 			return
@@ -59,12 +63,33 @@
 	a.look(gw)
 }
 
+// complete tells whether a response has what its command asked for. One that was cut short is passed over, as the command is
+// repeated and the whole of it comes.
+func complete(verb mgcp.Verb, m mgcp.Message) bool {
+	if mgcp.KindOf(m.Code) != mgcp.Success {
+		return true
+	}
+	_, id := m.Param("I")
+	_, state := m.Param("ES")
+	switch verb {
+	case mgcp.CreateConnection:
+		return id && len(m.Session) > 0
+	case mgcp.AuditEndpoint:
+		return id && state
+	}
+	return true
+}
+
 func (a *Agent) command(from netip.AddrPort, m mgcp.Message, age policy.Tenths) {
 	gw, i, ok := a.find(m.Endpoint)
 	if !ok {
 		a.out.Send(from, mgcp.Message{Transaction: m.Transaction, Code: mgcp.NoEndpoint, Comment: "no such endpoint"})
 		return
 	}
+	if !m.Complete() {
+		a.Counts.Incomplete++
+		return
+	}
 	g := &a.gws[gw]
 	if acks, had := m.Param("K"); had {
 		for _, id := range mgcp.ParseRanges(acks) {
@@ -261,7 +286,8 @@
 	request := a.newRequest()
 	a.ask(&m, request, HearLift, gateways.Silence, "")
 	for n := range g.Endpoints {
-		a.lines[g.first+n].request = request
+		l := &a.lines[g.first+n]
+		l.request, l.heard = request, request-1 // what it noticed before it came into service is over
 	}
 	g.out = a.send(gw, m, pending{outGateway, gw, m.Verb})
 }
--- a/internal/callagent/line.go
+++ b/internal/callagent/line.go
@@ -145,7 +145,7 @@
 	l := &a.lines[i]
 	began := a.now - in.age
 	left := began + a.site.Abandon[a.gws[l.gw].Bearer] - a.now
-	left -= gateways.AnswerRoom(a.gws[l.gw].sender.Wait(), left)
+	left -= gateways.AnswerRoom(a.gws[l.gw].sender.Wait(), left, a.gws[l.gw].sender.Loss())
 	a.nextCall++
 	l.talk = &talk{call: a.nextCall, digits: in.digits, began: began, leaves: a.now + left, hop: place{a.pointOf(i), a.cicOf(i)}}
 	a.Counts.Dialled++
--- a/internal/day/draw.go
+++ b/internal/day/draw.go
@@ -43,15 +43,17 @@
 			p.share[a][b] /= sum
 		}
 	}
+	g := s.Gateways // phones call each other evenly, and some of them are calls within an exchange
+	phones := g.Rate * (1 - g.Near) * (g.Holding + g.PickUp).Seconds() / float64(n*n)
 	for a := range n {
 		for b := range a {
-			erlangs := (p.share[a][b] + p.share[b][a]) * s.Rate * holding
+			erlangs := 2*phones + (p.share[a][b]+p.share[b][a])*s.Rate*holding
 			size := min(circuit.MostCircuits, max(1, int(math.Round(erlangs*(1+s.Spare)))))
 			p.sizes[a][b], p.sizes[b][a] = size, size
 		}
 	}
 	// A call takes two set-ups and about eight answers and releases of an eighth of that work, three of its units in all.
-	perExchange := s.Rate / float64(n)
+	perExchange := (s.Rate + g.Rate) / float64(n)
 	p.work.SetUp = time.Duration(s.ProcessorAt / (3 * perExchange) * float64(time.Second))
 	p.work.Finish = p.work.SetUp / 8
 	p.callers = drawCallers(s, p.share, weight, chance)
--- a/internal/day/file.go
+++ b/internal/day/file.go
@@ -53,7 +53,8 @@
 	Bearers     []Bearer
 	Troubles    []Trouble
 	Ported      float64 // share of callers' numbers that were ported, asked for by ENUM; 0: not asked for
-	Tables      bool    // destinations are found by tables of numbers, that troubles may change
+	Gateways    Gateways
+	Tables      bool // destinations are found by tables of numbers, that troubles may change
 }
 
 const longest = 24 * time.Hour
@@ -109,6 +110,9 @@
 	for _, t := range s.Deployment.Bearers {
 		s.Habits.GoS = append(s.Habits.GoS, span(t.GoSTarget))
 	}
+	if len(b.Blocks("gateways", false)) > 0 {
+		s.Gateways = readGateways(b.Only("gateways", false), s)
+	}
 	for _, n := range b.Blocks("trouble", true) {
 		t := Trouble{Kind: n.Label, Start: span(n.Span("start", 0, longest, 0)), Length: span(n.Span("length", 0, longest, 10*time.Second)),
 			Part: n.Number("part", 0, 1, 0.3), Size: n.Number("size", 0, 1e6, 1), Every: span(n.Span("every", 10*time.Millisecond, longest, 3*time.Second)),
@@ -119,6 +123,8 @@
 			n.Fault("trouble %q is not known; there are %v", t.Kind, Kinds())
 		case t.Kind == "portability" && s.Ported == 0:
 			n.Fault("portability cannot be troubled in a day without ported numbers")
+		case t.Kind == "gateways" && s.Gateways.Each == 0:
+			n.Fault("gateways cannot be troubled in a day without gateways")
 		case t.Kind == "tables_change" && !s.Tables:
 			n.Fault("tables cannot change in a day without tables = true")
 		case t.Start > s.Length:
--- a/internal/day/hunt_test.go
+++ b/internal/day/hunt_test.go
@@ -14,7 +14,7 @@
 func TestRulesHoldOnDaysDrawnAtRandom(t *testing.T) {
 	usable := []string{}
 	for _, k := range Kinds() {
-		if k != "portability" && k != "tables_change" {
+		if k != "portability" && k != "tables_change" && k != "gateways" {
 			usable = append(usable, k)
 		}
 	}
--- a/internal/day/process.go
+++ b/internal/day/process.go
@@ -28,6 +28,7 @@
 		}
 		return net.Listen("tcp", address)
 	}
+	o.Packets = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
 	o.Dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }
 	return o
 }
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -49,6 +49,7 @@
 	Bearers  []Row
 	Windows  []Row // of 10 s
 	Tries    int
+	Phones   PhoneRow
 	Breaches []audit.Breach
 	CPU      time.Duration // all controllers together
 	Memory   int64         // the most that one held, kilobytes
@@ -100,6 +101,10 @@
 		if r.Asked > 0 {
 			fmt.Fprintf(w, "portability: %.2f queries a call\n", float64(r.Asked)/float64(offered))
 		}
+		if p := r.Phones; p.Calls > 0 {
+			fmt.Fprintf(w, "phones at gateways: %d numbers dialled, %d calls stood (half within %v, 99 of 100 within %v), %d refused, %d failed, %d callers left, %d not dialled\n",
+				p.Calls, p.Stood, p.Median.Round(time.Millisecond/10), p.Most.Round(time.Millisecond/10), p.Refused, p.Failed, p.Left, p.Skipped)
+		}
 		if r.Versions > 0 {
 			fmt.Fprintf(w, "tables: tries went by %d versions, %d calls by two at once\n", r.Versions, r.Mixed)
 		}
@@ -116,7 +121,7 @@
 	}
 	line, err := json.Marshal(map[string]any{"offered": r.All.Offered, "stood": r.All.Stood, "late": r.All.Late, "refused": r.All.Refused,
 		"failed": r.All.Failed, "cut": r.All.Cut, "broken": len(r.Breaches), "mixed": r.Mixed, "service": round(r.All.Service),
-		"tries": r.Tries, "cpu_ms": r.CPU.Milliseconds(), "dial_late_ms": r.DialLate.Milliseconds()})
+		"phones": r.Phones, "tries": r.Tries, "cpu_ms": r.CPU.Milliseconds(), "dial_late_ms": r.DialLate.Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -33,9 +33,10 @@
 	Launch   func(exchange int, siteFile, routing, plant string) (Program, error)
 	Listen   func(address string) (net.Listener, error) // "" has an address chosen
 	Dial     func(address string) (net.Conn, error)
-	Routing  string // "module", or a baseline: "direct", "random"
-	Plant    string // rule to be broken once: answer, copy, drain, cold, release
-	Keep     string // folder for the log and the controllers' output; "" a temporary one, removed at the end
+	Packets  func(address string) (net.PacketConn, error) // datagram sockets; port 0 has one chosen
+	Routing  string                                       // "module", or a baseline: "direct", "random"
+	Plant    string                                       // rule to be broken once: answer, copy, drain, cold, release
+	Keep     string                                       // folder for the log and the controllers' output; "" a temporary one, removed at the end
 	Progress io.Writer
 }
 
@@ -55,6 +56,7 @@
 	controls    []string // addresses that take orders, where there are tables
 	tables      int      // versions made so far
 	ported      *standin.Ported
+	phones      phones
 	ctx         context.Context
 	all         sync.WaitGroup
 	mu          sync.Mutex
@@ -106,6 +108,7 @@
 	if r.ported != nil {
 		rep.Asked = r.ported.Asked()
 	}
+	rep.Phones = countPhones(r.phones.calls)
 	rep.CPU, rep.Memory, rep.DialLate = r.cpu, r.memory, r.subscribers.Late()
 	return rep, nil
 }
@@ -171,6 +174,9 @@
 			r.controls = append(r.controls, at)
 		}
 	}
+	if err := r.makeGateways(); err != nil {
+		return err
+	}
 	for i := range r.script.Exchanges {
 		r.controllers = append(r.controllers, &controller{no: i, run: r})
 		if err := r.startController(i); err != nil {
@@ -182,6 +188,9 @@
 			return err
 		}
 	}
+	if err := r.startGateways(); err != nil {
+		return err
+	}
 	fmt.Fprintf(r.opts.Progress, "%d exchanges are in service, %d callers will call\n", len(r.switches), len(r.plan.callers))
 	if !r.sleep(r.script.Settle) {
 		return context.Cause(r.ctx)
@@ -213,8 +222,12 @@
 	for _, b := range r.script.Deployment.Bearers {
 		tail = max(tail, span(b.Abandon))
 	}
+	early := done
+	if r.script.Gateways.Each > 0 { // the subscribers may be done before the phones are
+		early = nil
+	}
 	select {
-	case <-done:
+	case <-early:
 	case <-time.After(r.script.Length + tail):
 	case <-r.ctx.Done():
 	}
@@ -253,6 +266,7 @@
 	for _, c := range r.controllers {
 		c.leave(3 * time.Second)
 	}
+	r.stopGateways()
 	if r.register != nil {
 		r.register.Stop()
 	}
--- a/internal/day/sitefile.go
+++ b/internal/day/sitefile.go
@@ -40,6 +40,7 @@
 			text(p, "zone", enumZone)
 		}
 	}
+	r.gatewaysOf(e, b)
 	cold := b.AppendNewBlock("cold", nil).Body()
 	number(cold, "from", d.ColdFrom)
 	during(cold, "ramp", d.RampTime)
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -39,6 +39,7 @@
 		"controllers_roll":  {0, 1000, "seconds until each is started again", nil, controllersRoll},
 		"drain":             {0, 1000, "seconds between drain and restart", nil, drain},
 		"ageing":            {1, 1000, "times slower at the end, then dead for a second", nil, ageing},
+		"gateways":          {0, 60, "share, or seconds late", []string{"loss", "double", "late", "truncated", "two_answers", "reused_ids", "cut", "flash", "hang_up", "trickle", "glare", "restart", "moved"}, gatewaysTroubled},
 		"portability":       {0, 60, "seconds late", []string{"late", "silent", "truncated", "wrong", "contradictory", "other"}, portability},
 		"tables_change":     {0, 1e6, "not used", nil, tablesChange},
 		"mass_restart":      {0, 1000, "seconds that switches are gone", nil, massRestart},
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -33,6 +33,7 @@
 	gate        *memnet.Gate
 	mu          sync.Mutex
 	conns       []net.Conn
+	socket      net.PacketConn
 	killed      bool
 }
 
@@ -77,6 +78,16 @@
 	if err != nil {
 		return nil, err
 	}
+	p.station.ListenPacket = func(address string) (net.PacketConn, error) {
+		c, err := v.ListenPacket(address)
+		if err == nil {
+			c.(*memnet.Packet).Gate = p.gate
+			p.mu.Lock()
+			p.socket = c
+			p.mu.Unlock()
+		}
+		return c, err
+	}
 	if wrong != nil {
 		p.station.Sent = wrong.Sent
 	}
@@ -104,6 +115,9 @@
 	for _, c := range p.conns {
 		c.Close()
 	}
+	if p.socket != nil {
+		p.socket.Close()
+	}
 	p.mu.Unlock()
 	p.GoOn()
 	p.drain()
@@ -131,7 +145,7 @@
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		v := &virtualNet{memnet.New()}
-		rep, err = Run(context.Background(), s, Options{Launch: v.launch, Listen: v.Listen, Dial: v.Dial, Plant: plant, Keep: dir, Progress: io.Discard})
+		rep, err = Run(context.Background(), s, Options{Launch: v.launch, Listen: v.Listen, Dial: v.Dial, Packets: v.ListenPacket, Plant: plant, Keep: dir, Progress: io.Discard})
 		if err != nil {
 			t.Error(err)
 		}
@@ -168,7 +182,7 @@
 	sizes := map[string]float64{"slow": 4, "other_work": 0.7, "circuits_lost": 0.5, "answers_lost": 0.3, "chopped": 1, "load_jump": 2,
 		"hot_caller": 4, "ageing": 6, "mass_cut": 0.6, "leave_early": 0.4, "links_reset": 0.7}
 	for _, kind := range Kinds() {
-		if kind == "portability" || kind == "tables_change" { // need tables, and the first sockets: days of their own
+		if kind == "portability" || kind == "tables_change" || kind == "gateways" { // need tables, and the first sockets: days of their own
 			continue
 		}
 		hows := kinds[kind].how
@@ -231,3 +245,42 @@
 	}
 	os.Exit(code)
 }
+
+// Phones at gateways: calls within an exchange, between two and over tandems, with nothing wrong.
+func TestPhonesAtGatewaysOnAQuietDay(t *testing.T) {
+	rep := virtual(t, "mgcp.hcl", func(s *Script) { s.Troubles, s.Length = nil, 20*time.Second })
+	rulesHold(t, rep, 0.8)
+	if p := rep.Phones; p.Calls < 300 || float64(p.Stood) < 0.7*float64(p.Calls) {
+		t.Fatalf("%+v", p)
+	} else {
+		t.Logf("%+v", p)
+	}
+}
+
+// Every trouble that gateways, their users and their network have, alone and by name.
+func TestEachTroubleOfGatewaysKeepsTheRules(t *testing.T) {
+	sizes := map[string]float64{"loss": 0.05, "double": 0.5, "late": 0.3, "truncated": 0.1, "two_answers": 0.5, "flash": 0.5, "hang_up": 0.5, "trickle": 0.5, "glare": 0.5}
+	for _, how := range kinds["gateways"].how {
+		t.Run(how, func(t *testing.T) {
+			size, ok := sizes[how]
+			if !ok {
+				size = 1
+			}
+			rep := virtual(t, "mgcp.hcl", func(s *Script) {
+				s.Length, s.Troubles = 20*time.Second, []Trouble{{Kind: "gateways", Start: 4 * time.Second, Length: 8 * time.Second, Part: 0.5, Size: size, How: how}}
+			})
+			rulesHold(t, rep, 0.8)
+			if p := rep.Phones; float64(p.Stood) < 0.4*float64(p.Calls) || p.Calls < 300 {
+				t.Fatalf("%+v", p)
+			} else {
+				t.Logf("%+v", p)
+			}
+		})
+	}
+}
+
+func TestMGCPDayKeepsTheRules(t *testing.T) {
+	rep := virtual(t, "mgcp.hcl", func(*Script) {})
+	rulesHold(t, rep, 0.3)
+	t.Logf("%+v", rep.Phones)
+}
--- a/internal/gateways/read.go
+++ b/internal/gateways/read.go
@@ -1,6 +1,7 @@
 package gateways
 
 import (
+	"math"
 	"slices"
 
 	"indigodrift/internal/isup"
@@ -100,19 +101,26 @@
 	return Reorder, "the number cannot be reached"
 }
 
-// answers is how many sendings the final answer of a call is given time for before its caller gives up: at a loss of one in
-// five on either way, four sendings leave one answer in twenty unheard, and the waits double.
-const answers = 4
+// A final answer is given time to be told so often that one in a thousand stays unheard at the loss seen, within bounds.
+const (
+	unheard      = 0.001
+	answersLeast = 3
+	answersMost  = 8
+)
 
 // AnswerRoom is how much of a caller's time is kept for telling its answer to the gateway, which may have to be told several
-// times; wait is how long a first repeat to that gateway is waited for. A part of the time left bounds it, or slow gateways
-// would have no time to set up calls.
-func AnswerRoom(wait, left policy.Tenths) policy.Tenths {
+// times with waits that double; wait is the first of them, loss the share of commands to that gateway that had to be repeated
+// of late. Half of the time left bounds it, or a bad network would have no time to set up calls.
+func AnswerRoom(wait, left policy.Tenths, loss float64) policy.Tenths {
+	times := answersLeast
+	for p := math.Pow(loss, answersLeast); p > unheard && times < answersMost; p *= loss {
+		times++
+	}
 	room := policy.Tenths(0)
-	for i := range answers - 1 {
+	for i := range times - 1 {
 		room += wait << i
 	}
-	return min(room, left/3)
+	return min(room, left/2)
 }
 
 // DoorShut tells whether a user who lifts the receiver now should hear congestion in place of dial tone: calls wait longer for
--- a/internal/mgcp/message.go
+++ b/internal/mgcp/message.go
@@ -85,6 +85,24 @@
 // IsAcknowledgement tells whether it is the response acknowledgement that ends a three-way handshake (3.5.6).
 func (m *Message) IsAcknowledgement() bool { return m.Verb == "" && m.Code == 0 }
 
+// Complete tells whether a command has the parameters without which it says nothing (RFC 3435, 3.2.2): one cut short at the end
+// of a line reads well, and is better repeated than taken.
+func (m *Message) Complete() bool {
+	need := []string{}
+	switch m.Verb {
+	case Notify:
+		need = []string{"X", "O"}
+	case RestartInProgress:
+		need = []string{"RM"}
+	}
+	for _, name := range need {
+		if _, ok := m.Param(name); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Append adds the text of a message to buf.
 func Append(buf []byte, m Message) ([]byte, error) {
 	at := len(buf)
@@ -163,6 +181,11 @@
 	if len(datagram) > DatagramMost {
 		return nil, bad("%d octets, %d at most", len(datagram), DatagramMost)
 	}
+	// Every line has its end (appendix A). A datagram that was cut short reads, at most places, as another message: fewer digits,
+	// or an endpoint that holds no connection.
+	if n := len(datagram); n > 0 && datagram[n-1] != '\n' {
+		return nil, bad("no end of line after %d octets", n)
+	}
 	var all []Message
 	var part []string
 	for _, line := range lines(string(datagram)) {
--- a/internal/mgcp/mgcp_test.go
+++ b/internal/mgcp/mgcp_test.go
@@ -78,7 +78,7 @@
 			t.Errorf("%q: %+v, %v", c.text, got, err)
 		}
 	}
-	for _, text := range []string{"", "\n", ".", "RQNT\n", "RQNT 0 a@b MGCP 1.0\n", "RQNT 1000000000 a@b MGCP 1.0\n", "RQNT 1 a MGCP 1.0\n", "RQNT 1 a@b MGCP 0.1\n",
+	for _, text := range []string{"", "200 1201 OK", "NTFY 1 a@b MGCP 1.0\nO: D/0, D/0", "\n", ".", "RQNT\n", "RQNT 0 a@b MGCP 1.0\n", "RQNT 1000000000 a@b MGCP 1.0\n", "RQNT 1 a MGCP 1.0\n", "RQNT 1 a@b MGCP 0.1\n",
 		"DANCE 1 a@b MGCP 1.0\n", "RQNT 1 a*b/1@c MGCP 1.0\n", "RQNT 1 a//1@c MGCP 1.0\n", "200 1\nnothing\n", "2x0 1\n", "200 1\n: x\n", strings.Repeat("x", DatagramMost+1)} {
 		if _, err := Decode([]byte(text)); !errors.Is(err, ErrMessage) {
 			t.Errorf("%.30q: %v", text, err)
@@ -134,7 +134,7 @@
 }
 
 func TestDigitMapsOfNoForm(t *testing.T) {
-	for _, text := range []string{"", "()", "(1|)", "(1", "[1", "[]", "[4-2]", ".", "1..", "y", "T.", strings.Repeat("1", 65), strings.Repeat("1|", 70) + "1"} {
+	for _, text := range []string{"", "200 1201 OK", "NTFY 1 a@b MGCP 1.0\nO: D/0, D/0", "()", "(1|)", "(1", "[1", "[]", "[4-2]", ".", "1..", "y", "T.", strings.Repeat("1", 65), strings.Repeat("1|", 70) + "1"} {
 		if _, err := ParseMap(text); !errors.Is(err, ErrMessage) {
 			t.Errorf("%.20q: %v", text, err)
 		}
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -26,6 +26,7 @@
 	idMost    = uint32(TransactionMost)
 	gain      = 0.125
 	gainDev   = 0.25
+	lossGain  = 0.05
 	jitter    = 0.1
 	keptMost  = 1 << 16 // responses kept for one peer
 )
@@ -75,6 +76,7 @@
 	mean    float64 // answer time, tenths
 	dev     float64
 	told    bool
+	loss    float64         // share of commands that had to be repeated, of late
 	held    policy.Tenths   // the wait that a repeated command had come to, until one is answered without a repeat
 	late    map[uint32]over // given up or answered
 	sweepAt policy.Tenths
@@ -153,6 +155,7 @@
 	// An answer to a repeat may be the answer to the first and tells no time; the next command starts with the wait that this
 	// one had come to (Karn's rule). Without the second half a peer slower than the first wait was never learned of, and got
 	// every command twice.
+	s.loss += lossGain * (min(1, float64(t.repeats)) - s.loss)
 	if t.repeats > 0 {
 		s.held = min(rtoMost, s.rto()<<t.repeats)
 	} else {
@@ -237,6 +240,9 @@
 	return all
 }
 
+// Loss is the share of commands that had to be repeated, of late.
+func (s *Sender) Loss() float64 { return s.loss }
+
 // Wait is how long the first repeat of a command is waited for now.
 func (s *Sender) Wait() policy.Tenths { return s.rto() }
 
