--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -133,6 +133,7 @@
 	agent   int
 	discon  mgcp.Disconnected
 	lost    bool
+	down    bool // as noted
 	serial  uint32
 	lives   int
 	nextTry time.Time
@@ -173,7 +174,7 @@
 // Do has the gateway's goroutine do something: troubles come through it.
 func (g *Gateway) Do(do func(q *Quirk)) {
 	select {
-	case g.orders <- func() { do(&g.quirk) }:
+	case g.orders <- func() { do(&g.quirk); g.mark() }:
 	case <-g.stop:
 	}
 }
@@ -181,7 +182,6 @@
 // Restart turns it off and on: its connections are gone; elsewhere: it comes back at another address.
 func (g *Gateway) Restart(elsewhere bool) {
 	g.Do(func(*Quirk) {
-		g.note(audit.GatewayDown, 0, isup.Reference{}, 0, 1)
 		for i := range g.phones {
 			p := &g.phones[i]
 			for _, c := range p.conns {
@@ -217,6 +217,18 @@
 	g.after(time.Duration(mgcp.RestartWait(tenths(g.p.RestartWait), g.chance))*100*time.Microsecond, func() { g.report("restart", life) })
 }
 
+// mark notes when the gateway cannot reach its call agent, or has not yet, and when it can again.
+func (g *Gateway) mark() {
+	if down := g.quirk.Cut || g.lost; down != g.down {
+		g.down = down
+		v := int64(0)
+		if down {
+			v = 1
+		}
+		g.note(audit.GatewayDown, 0, isup.Reference{}, 0, v)
+	}
+}
+
 func tenths(d time.Duration) policy.Tenths { return policy.Tenths(d / (100 * time.Microsecond)) }
 
 func (g *Gateway) now() policy.Tenths { return 1<<32 + tenths(time.Since(g.base)) }
@@ -377,7 +389,7 @@
 	g.command(mgcp.Message{Verb: mgcp.RestartInProgress, Endpoint: "aaln/*@" + g.p.Name, Params: []mgcp.Param{{Name: "RM", Value: method}}}, func(ok bool) {
 		if ok && life == g.lives {
 			g.lost = false
-			g.note(audit.GatewayDown, 0, isup.Reference{}, 0, 0)
+			g.mark()
 			return
 		}
 		at := g.discon.Unanswered(g.now())
@@ -390,7 +402,7 @@
 		return
 	}
 	g.lost = true
-	g.note(audit.GatewayDown, 0, isup.Reference{}, 0, 1)
+	g.mark()
 	at, life := g.discon.Begin(g.now(), tenths(g.p.Disconnected), g.chance), g.lives
 	g.after(time.Duration(at-g.now())*100*time.Microsecond, func() { g.report("disconnected", life) })
 }
