--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -140,7 +140,6 @@
 	step     joinStep
 	out      uint32 // transaction for all its endpoints
 	waiting  []report
-	fresh    bool // it has restarted and holds nothing
 	suspect  bool // commands are repeated without an answer
 	dueAt    policy.Tenths
 	auditAt  policy.Tenths
--- a/internal/callagent/door.go
+++ b/internal/callagent/door.go
@@ -194,7 +194,6 @@
 		}
 		a.adopt(gw, from)
 		a.dropAll(gw)
-		g.fresh = true
 		a.enterReported(gw, from, m, reply)
 	default:
 		reply(mgcp.ProtocolError, "restart method "+method)
@@ -204,24 +203,27 @@
 // fresh notes that an endpoint has started anew: it holds nothing and is asked for nothing.
 func (a *Agent) fresh(i int) {
 	l := &a.lines[i]
+	audit := policy.Tenths(0)
 	if l.out != 0 {
 		a.gws[l.gw].sender.Cancel(a.now, l.out)
 		delete(a.outs, l.out)
+		audit = a.now + settled // it may be carried out yet
+		a.at(audit, dueLine, i)
 	}
-	l.out, l.has, l.held, l.left, l.audit, l.retryAt, l.refusals, l.unsure, l.auditAt = 0, wish{}, nil, nil, false, 0, 0, nil, 0
+	l.out, l.has, l.held, l.left, l.audit, l.retryAt, l.refusals, l.unsure, l.auditAt = 0, wish{}, nil, nil, false, 0, 0, nil, audit
 }
 
 // dropAll ends what goes on at a gateway that has started anew, or is gone.
 func (a *Agent) dropAll(gw int) {
 	g := &a.gws[gw]
-	for _, id := range g.sender.CancelAll(a.now) {
-		delete(a.outs, id)
-	}
 	g.out, g.step = 0, notJoining
 	for n := range g.Endpoints {
 		a.fresh(g.first + n)
 		a.happen(g.first+n, lost, input{})
 	}
+	for _, id := range g.sender.CancelAll(a.now) {
+		delete(a.outs, id)
+	}
 }
 
 // enterReported has the door say when a gateway that reported is brought into service; its report is answered then, so that one
@@ -270,11 +272,8 @@
 	g.waiting = nil
 	a.dropAll(gw)
 	g.presence.Join(a.now)
-	if g.fresh {
-		g.fresh = false
-		a.stepAsk(gw)
-		return
-	}
+	// Also where it has just restarted and holds nothing: a command to make a connection that was on its way to it then may have
+	// been carried out since.
 	g.step = clearing
 	g.out = a.send(gw, mgcp.Message{Verb: mgcp.DeleteConnection, Endpoint: allEndpoints + "@" + g.Name}, pending{outGateway, gw, mgcp.DeleteConnection, a.now})
 }
--- a/internal/callagent/wish.go
+++ b/internal/callagent/wish.go
@@ -340,6 +340,11 @@
 	if l.state == Away {
 		a.happen(i, back, input{})
 	}
+	if l.state == Idle {
+		// What it listens for is asked for anew: one that noticed something and could not tell it listens for nothing more, and
+		// does not say so.
+		l.has.hear = HearNothing
+	}
 	list, _ := r.Param("I")
 	var held []gateways.Held
 	for _, id := range strings.Split(list, ",") {
