Decisions about gateways tested against plain references

Cause: codes, answer room, leftovers, owners and presence had no tests of their own; lines are run with messages that overtake each other as well.

--- /dev/null
+++ b/internal/gateways/decisions_test.go
@@ -0,0 +1,160 @@
+package gateways
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"indigodrift/internal/mgcp"
+	"indigodrift/policy"
+
+	"pgregory.net/rapid"
+)
+
+func TestCodesAreReadAsTheRecommendationHasThem(t *testing.T) {
+	for _, c := range []struct {
+		verb mgcp.Verb
+		code int
+		want Reading
+	}{
+		{mgcp.CreateConnection, 200, Obeyed}, {mgcp.DeleteConnection, 250, Obeyed}, {mgcp.DeleteConnection, 515, Obeyed}, {mgcp.ModifyConnection, 515, NoConnection},
+		{mgcp.NotificationRequest, 401, LiftedNow}, {mgcp.NotificationRequest, 402, HungUpNow}, {mgcp.NotificationRequest, 400, NotNow},
+		{mgcp.NotificationRequest, 409, NotNow}, {mgcp.CreateConnection, 403, Cannot}, {mgcp.NotificationRequest, 403, NotNow}, {mgcp.CreateConnection, 500, NoEndpoint},
+		{mgcp.AuditEndpoint, 521, Elsewhere}, {mgcp.NotificationRequest, 513, Cannot}, {mgcp.CreateConnection, 899, Cannot}, {mgcp.CreateConnection, 405, NoEndpoint},
+	} {
+		if got := ReadCode(c.verb, c.code); got != c.want {
+			t.Errorf("%s %d: %d, want %d", c.verb, c.code, got, c.want)
+		}
+	}
+}
+
+// The room for an answer grows with loss and with the wait, is enough for the sendings that it is reckoned for, and leaves at
+// least half of the time to set the call up.
+func TestRoomForAnAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wait, left := policy.Tenths(rapid.IntRange(500, 40000).Draw(t, "wait")), policy.Tenths(rapid.IntRange(1, 100000).Draw(t, "left"))
+		loss := rapid.Float64Range(0, 1).Draw(t, "loss")
+		room := AnswerRoom(wait, left, loss)
+		if room < 0 || room > left/2 || room < min(left/2, wait+2*wait) {
+			t.Fatalf("room %d of %d, wait %d", room, left, wait)
+		}
+		if AnswerRoom(wait, left, min(1, loss+0.2)) < room || AnswerRoom(wait+100, left, loss) < room {
+			t.Fatalf("less room for a worse network")
+		}
+	})
+	if a, b := AnswerRoom(2000, 90000, 0), AnswerRoom(2000, 90000, 0.3); a >= b {
+		t.Fatalf("%d without loss, %d with", a, b)
+	}
+}
+
+// Leftovers against the plainest reckoning.
+func TestLeftoversAreAllButTheLiveOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfDistinct(rapid.StringMatching(`[0-9A-F]{1,3}`), rapid.ID).Draw(t, "held")
+		live := rapid.SampledFrom(append([]string{"", "no such"}, ids...)).Draw(t, "live")
+		var held []Held
+		var want []string
+		for _, id := range ids {
+			held = append(held, Held{ID: id})
+			if id != live {
+				want = append(want, id)
+			}
+		}
+		slices.Sort(want)
+		left, gone := Leftovers(held, live)
+		var got []string
+		for _, h := range left {
+			got = append(got, h.ID)
+		}
+		if !slices.Equal(got, want) || gone != (live != "" && !slices.Contains(ids, live)) {
+			t.Fatalf("left %v gone %v of %v, live %q", got, gone, ids, live)
+		}
+	})
+}
+
+// Ids that count over the end of 32 bits are still in order.
+func TestStaleFollowsTheCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		heard, by := rapid.Uint32().Draw(t, "heard"), rapid.Uint32Range(1, 1<<30).Draw(t, "by")
+		if Stale(heard, heard) || Stale(heard+by, heard) || !Stale(heard-by, heard) {
+			t.Fatal(heard, by)
+		}
+	})
+}
+
+// A gateway changes its controller only when its own goes, and each controller has its share.
+func TestOwnersShareAndMoveLeast(t *testing.T) {
+	controllers := []string{"ca@a:2727", "ca@b:2727", "ca@c:2727"}
+	count := map[int]int{}
+	for n := range 3000 {
+		name := fmt.Sprintf("gw-%d.example", n)
+		all := Owner(name, controllers, func(int) bool { return true })
+		count[all]++
+		for down := range controllers {
+			if got := Owner(name, controllers, func(i int) bool { return i != down }); got == down || all != down && got != all {
+				t.Fatalf("%s goes from %d to %d as %d is down", name, all, got, down)
+			}
+		}
+	}
+	for i, n := range count {
+		if n < 800 || n > 1200 {
+			t.Errorf("controller %d has %d of 3000", i, n)
+		}
+	}
+}
+
+// Presence against its table, and its questions: never two within their least wait, and an absent gateway is asked for ever.
+func TestPresenceKeepsToItsTableAndAsks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Presence
+		now, want := policy.Tenths(1000), Absent
+		lastAsk, ever := policy.Tenths(-1<<40), false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += policy.Tenths(rapid.IntRange(1, 400000).Draw(t, "gap"))
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				p.Join(now)
+				want = Joining
+			case 1:
+				if p.Joined(now); want == Joining || want == Leaving {
+					want = Serving
+				}
+			case 2:
+				if p.Leave(); want == Serving {
+					want = Leaving
+				}
+			case 3:
+				if p.Stay(); want == Leaving || want == Joining {
+					want = Serving
+				}
+			case 4:
+				was := p.Lost(now)
+				if was != (want != Absent) {
+					t.Fatalf("lost from %v: %v", want, was)
+				}
+				want, ever = Absent, true
+			case 5:
+				p.Heard(now)
+			case 6:
+				ask, next := p.Due(now)
+				if ask && now-lastAsk < min(probeFirst, quietMost) && lastAsk > 0 {
+					t.Fatalf("asked twice within %d", now-lastAsk)
+				}
+				if ask {
+					lastAsk = now
+				}
+				if next <= now {
+					t.Fatalf("to be looked at in the past")
+				}
+			}
+			if p.Standing() != want {
+				t.Fatalf("%v, want %v", p.Standing(), want)
+			}
+		}
+		if ever && want == Absent {
+			if ask, _ := p.Due(now + 2*probeMost); !ask {
+				t.Fatal("an absent gateway is not asked for any more")
+			}
+		}
+	})
+}
