--- a/examples/site.hcl
+++ b/examples/site.hcl
@@ -45,3 +45,14 @@
   circuits = 45
   address  = "127.0.0.1:7102"
 }
+
+gateways {
+  listen = "127.0.0.1:2727"
+
+  gateway "clinic-3.example" {
+    addresses  = ["127.0.0.1:2427"]
+    endpoints  = 24
+    first_line = 100
+    bearer     = "ride-status"
+  }
+}
--- a/internal/gateways/restarts.go
+++ b/internal/gateways/restarts.go
@@ -2,7 +2,11 @@
 // restart together are answered. It is pure; a call agent that speaks internal/mgcp calls it.
 package gateways
 
-import "indigodrift/policy"
+import (
+	"math"
+
+	"indigodrift/policy"
+)
 
 // Verdict on a restart that a gateway reports (RSIP, RFC 3435, 2.3.12).
 type Verdict uint8
@@ -17,12 +21,15 @@
 	depth       = policy.Tenths(5000)   // restarts of so long may be answered at once after a quiet time
 	waitMost    = policy.Tenths(150000) // none is kept past what a gateway repeats its report for, with room to spare
 	callsFirst  = 0.5                   // of its pace, what is left to restarts while calls wait longer than they should
+	easyBelow   = 0.05                  // below which they are not, and the pace may grow
+	doubles     = 1000.0                // tenths in which it doubles then
+	paceMost    = 64                    // times the stated rate that it grows to
 	pressedFrom = 0.2                   // share of the tightest GoS target that calls wait for the program, from which they are pressed
 )
 
 // Limits of the door.
 type Limits struct {
-	Rate  float64       // gateways a second that the program can take into service beside its calls
+	Rate  float64       // gateways a second that are taken into service whatever calls wait, half of it while they wait long
 	Queue int           // reports that may wait
 	GoS   policy.Tenths // the tightest GoS target of calls
 }
@@ -42,11 +49,12 @@
 	queue   []report
 	waiting map[uint32]policy.Tenths // endpoint: since when it waits
 	pace    float64
+	told    policy.Tenths // when the calls' wait was last told
 }
 
 // NewRestarts makes a door that nobody waits at.
 func NewRestarts(l Limits, now policy.Tenths) *Restarts {
-	r := &Restarts{l: l, at: now, waiting: map[uint32]policy.Tenths{}, pace: l.Rate}
+	r := &Restarts{l: l, at: now, told: now, waiting: map[uint32]policy.Tenths{}, pace: l.Rate}
 	r.tokens = r.most()
 	return r
 }
@@ -60,13 +68,20 @@
 	}
 }
 
-// CallsWait tells how long calls wait for the program now; the pace follows it.
+// CallsWait tells how long calls wait for the program now; the pace follows it: it grows while they do not wait, as a fixed one
+// either holds gateways off from a program that has time, or is no limit when it has none.
 func (r *Restarts) CallsWait(now, wait policy.Tenths) {
 	r.refill(now)
-	r.pace = r.l.Rate
-	if float64(wait) > pressedFrom*float64(r.l.GoS) {
-		r.pace *= callsFirst
+	share := float64(wait) / float64(max(1, r.l.GoS))
+	switch {
+	case share > pressedFrom:
+		r.pace = r.l.Rate * callsFirst
+	case share < easyBelow:
+		r.pace = min(paceMost*r.l.Rate, max(r.l.Rate, r.pace)*math.Exp2(float64(now-r.told)/doubles))
+	default:
+		r.pace = max(r.l.Rate, r.pace)
 	}
+	r.told = now
 }
 
 // Report takes a gateway's report. One that is repeated while it waits keeps its place.
