--- a/cmd/indigodrift/main_test.go
+++ b/cmd/indigodrift/main_test.go
@@ -48,7 +48,10 @@
 	return file
 }
 
-type verdict struct{ Offered, Stood, Refused, Failed, Broken int }
+type verdict struct {
+	Offered, Stood, Refused, Failed, Broken int
+	Phones                                  struct{ Calls, Stood int }
+}
 
 func lastLine(t *testing.T, out []byte) (v verdict) {
 	t.Helper()
@@ -59,6 +62,49 @@
 	return v
 }
 
+// Phones at gateways, with exchanges as processes, a network that loses and doubles, a controller killed and gateways restarted.
+func TestPhonesOnLoopbackWithProcessesKilled(t *testing.T) {
+	file := write(t, "day.hcl", `
+length           = "8s"
+settle           = "2s"
+exchanges        = 3
+calls_per_second = 10
+`+bearers+`
+gateways {
+  each             = 2
+  endpoints        = 24
+  calls_per_second = 30
+  bearer           = "ride-status"
+  holding          = "500ms"
+  pick_up          = "100ms"
+}
+
+trouble "gateways" {
+  start  = "1s"
+  length = "6s"
+  part   = 0.5
+  size   = 0.1
+  how    = "loss"
+}
+
+trouble "gateways" {
+  start = "3s"
+  part  = 0.5
+  how   = "restart"
+}
+
+trouble "controllers_kill" {
+  start = "4s"
+  part  = 0.3
+  size  = 1
+}
+`)
+	out, err := program("day", "run", file, "--json").Output()
+	if v := lastLine(t, out); err != nil || v.Broken > 0 || v.Phones.Calls < 100 || v.Phones.Stood < v.Phones.Calls/3 {
+		t.Fatalf("%v: %+v", err, v)
+	}
+}
+
 // Exchanges as processes on loopback, one killed and started again, one stopped for a second, links reset.
 func TestDayOnLoopbackWithProcessesKilled(t *testing.T) {
 	file := write(t, "day.hcl", `
--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -331,6 +331,17 @@
 	return n
 }
 
+// Telling counts the lines whose gateway has not answered a command that is still of use to a call: a program that ended now would
+// leave callers without their answer where the network lost it.
+func (a *Agent) Telling(now policy.Tenths) (n int) {
+	for i := range a.lines {
+		if l := &a.lines[i]; l.out != 0 && now < l.by {
+			n++
+		}
+	}
+	return n
+}
+
 // Hear takes what the exchange sends to its line side, and tells whether it is for a line at a gateway. It only notes it; Settle
 // follows.
 func (a *Agent) Hear(point, cic uint16, m isup.Message) bool {
--- a/internal/callagent/wish.go
+++ b/internal/callagent/wish.go
@@ -252,10 +252,7 @@
 			return
 		}
 	case gateways.NoEndpoint, gateways.Elsewhere:
-		a.happen(i, lost, input{})
-		l.has, l.held = wish{}, nil
-		l.retryAt = a.now + gateways.LaterWait(refusalsMost)
-		a.at(l.retryAt, dueLine, i)
+		a.outOfService(i)
 		return
 	case gateways.Cannot:
 		a.out.Note("gateway: " + a.endpoint(i) + " answers " + string(p.verb) + " with " + strconv.Itoa(r.Code) + " " + r.Comment)
@@ -281,6 +278,15 @@
 	a.push(i)
 }
 
+// outOfService takes an endpoint out of service that its gateway says it does not have, or not now; it is asked after.
+func (a *Agent) outOfService(i int) {
+	l := &a.lines[i]
+	a.happen(i, lost, input{})
+	l.has, l.held = wish{}, nil
+	l.retryAt = a.now + gateways.LaterWait(refusalsMost)
+	a.at(l.retryAt, dueLine, i)
+}
+
 // took notes that the gateway is as the command asked.
 func (a *Agent) took(i int, verb mgcp.Verb, r mgcp.Message) {
 	l := &a.lines[i]
@@ -333,7 +339,7 @@
 	l := &a.lines[i]
 	if mgcp.KindOf(r.Code) != mgcp.Success {
 		if gateways.ReadCode(mgcp.AuditEndpoint, r.Code) == gateways.NoEndpoint {
-			a.happen(i, lost, input{})
+			a.outOfService(i)
 		}
 		return
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -212,7 +212,7 @@
 		if next <= now {
 			s.x.Tick(now)
 			s.agent.tick(now)
-			if quit == nil && s.x.Unanswered() == 0 {
+			if quit == nil && s.x.Unanswered() == 0 && (now >= drainBy || s.agent.telling(now) == 0) {
 				return nil
 			}
 			if quit == nil && now >= drainBy {
--- a/internal/control/gateways.go
+++ b/internal/control/gateways.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// telling counts what calls still wait for at gateways.
+func (n *agent) telling(now policy.Tenths) int {
+	if n == nil {
+		return 0
+	}
+	return n.a.Telling(now)
+}
+
 func (n *agent) settle(now policy.Tenths) {
 	if n != nil {
 		n.a.Settle(now)
