Connections of endpoints follow a table; two commands are never out for one endpoint

Cause: where a connection stands was spread over what was wished, sent and held. It is a named state now, changed in one place, and moves that its table lacks are faults that the random runs look for. They found a line whose audit fell due as its command was being sent: it got that command twice, and two connections.

--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -108,6 +108,7 @@
 
 type line struct {
 	state    State
+	conn     Connection
 	want     wish
 	has      wish
 	sent     wish // what the command that is out asks for
@@ -198,6 +199,7 @@
 type Counts struct {
 	Dialled, Stood, Refused, Failed, Rung, TurnedAway int
 	Joined, Lost, Leftovers, Contradictions, Stale    int
+	Faults                                            int // moves that no table has
 	Incomplete                                        int // messages cut short
 	Sent                                              int // datagrams
 }
--- a/internal/callagent/callagent_test.go
+++ b/internal/callagent/callagent_test.go
@@ -242,11 +242,22 @@
 			r.a.Tick(r.now)
 		}
 	}
+	out := map[int]int{} // commands out for a line
+	for _, p := range r.a.outs {
+		if p.kind == outLine {
+			if out[p.n]++; out[p.n] > 1 {
+				r.t.Fatalf("two commands are out for line %d", p.n)
+			}
+		}
+	}
 	for i := range r.a.lines {
 		l := &r.a.lines[i]
 		if (l.state == Opening || l.state == Calling || l.state == Talking || l.state == Taking || l.state == Ringing) != (l.talk != nil) {
 			r.t.Fatalf("line %d is %v, call %v", i, l.state, l.talk)
 		}
+		if (l.conn.there() && l.unsure == nil) != (l.has.mode != NoMedia) || (l.conn == Unsure) && l.unsure == nil || r.a.Counts.Faults > 0 {
+			r.t.Fatalf("line %d: connection %v, has %v, unsure %v, %d faults", i, l.conn, l.has, l.unsure, r.a.Counts.Faults)
+		}
 		if l.out != 0 {
 			if p, ok := r.a.outs[l.out]; !ok || p.kind != outLine || p.n != i {
 				r.t.Fatalf("line %d waits for a command that is not out", i)
--- a/internal/callagent/door.go
+++ b/internal/callagent/door.go
@@ -203,6 +203,7 @@
 // fresh notes that an endpoint has started anew: it holds nothing and is asked for nothing.
 func (a *Agent) fresh(i int) {
 	l := &a.lines[i]
+	a.connect(i, None)
 	audit := policy.Tenths(0)
 	if l.out != 0 {
 		a.gws[l.gw].sender.Cancel(a.now, l.out)
@@ -362,9 +363,19 @@
 		}
 		next = min(next, g.auditAt)
 	}
-	if at, ok := g.sender.Next(); ok {
-		next = min(next, at)
+	a.watch(gw)
+	a.wake(gw, next)
+}
+
+// watch sets when a gateway's commands are to be looked at, wake when it is itself.
+func (a *Agent) watch(gw int) {
+	if at, ok := a.gws[gw].sender.Next(); ok {
+		a.wake(gw, at)
 	}
+}
+
+func (a *Agent) wake(gw int, next policy.Tenths) {
+	g := &a.gws[gw]
 	if next = max(next, a.now+1); g.dueAt == 0 || next < g.dueAt {
 		g.dueAt = next
 		a.at(next, dueGateway, gw)
--- a/internal/callagent/wish.go
+++ b/internal/callagent/wish.go
@@ -35,16 +35,19 @@
 		m.Set("I", l.left[0])
 	case l.unsure != nil:
 		m.Verb = mgcp.DeleteConnection
+		a.connect(i, Deleting)
 		m.Set("C", a.callID(l.unsure))
 		asks = asks && w.mode == NoMedia
 	case h.mode != NoMedia && (w.mode == NoMedia || l.held != l.talk):
 		m.Verb = mgcp.DeleteConnection
+		a.connect(i, Deleting)
 		m.Set("C", a.callID(l.held))
 		m.Set("I", l.held.conn)
 		sent.mode = NoMedia
 		asks = asks && w.mode == NoMedia // else with the new connection
 	case w.mode != NoMedia && h.mode == NoMedia:
 		m.Verb, connection = mgcp.CreateConnection, "$"
+		a.connect(i, Making)
 		m.Set("C", a.callID(l.talk))
 		m.Set("L", "p:20, a:PCMU")
 		m.Set("M", w.mode.String())
@@ -52,6 +55,7 @@
 		sent.mode, l.sentTalk = w.mode, l.talk
 	case w.mode != NoMedia && (w.mode != h.mode || l.talk.remote != l.talk.told):
 		m.Verb, connection = mgcp.ModifyConnection, l.talk.conn
+		a.connect(i, Changing)
 		m.Set("C", a.callID(l.talk))
 		m.Set("I", l.talk.conn)
 		m.Set("M", w.mode.String())
@@ -111,7 +115,7 @@
 	}
 	id := g.sender.SendBy(a.now, m, by)
 	a.outs[id] = p
-	a.look(gw)
+	a.watch(gw) // to look at the gateway here began an audit of the very line whose command is being sent: it got two at once
 	return id
 }
 
@@ -203,8 +207,13 @@
 	delete(a.outs, l.out)
 	l.out = 0
 	l.has.hear, l.has.tone = HearNothing, gateways.Silence
-	if l.sentTalk != nil && l.held != l.sentTalk {
+	if l.conn == Making || l.conn == Deleting && l.unsure != nil {
+		a.connect(i, Unsure)
+	}
+	if l.conn == Unsure && l.unsure == nil {
 		l.unsure = l.sentTalk
+	} else if l.conn == Changing || l.conn == Deleting {
+		a.connect(i, Made)
 	}
 }
 
@@ -224,8 +233,17 @@
 	}
 	leftover := p.verb == mgcp.DeleteConnection && len(l.left) > 0
 	if p.verb == mgcp.DeleteConnection && !leftover && l.unsure != nil && reading != gateways.Obeyed {
+		a.connect(i, None)
 		l.unsure, l.audit = nil, true
 	}
+	if reading != gateways.Obeyed { // as it was before the command
+		switch l.conn {
+		case Making:
+			a.connect(i, None)
+		case Changing, Deleting:
+			a.connect(i, Made)
+		}
+	}
 	switch reading {
 	case gateways.Obeyed:
 		if leftover {
@@ -246,6 +264,7 @@
 		a.at(l.retryAt, dueLine, i)
 		return
 	case gateways.NoConnection:
+		a.connect(i, None)
 		l.has.mode, l.held = NoMedia, nil
 		if l.sentTalk != nil && l.sentTalk == l.talk {
 			a.happen(i, vanished, input{})
@@ -260,6 +279,7 @@
 		case leftover:
 			l.left = l.left[1:]
 		case p.verb == mgcp.DeleteConnection:
+			a.connect(i, None)
 			l.has.mode, l.held, l.audit = NoMedia, nil, true
 		case p.verb == mgcp.CreateConnection:
 			if l.sentTalk == l.talk {
@@ -282,6 +302,7 @@
 func (a *Agent) outOfService(i int) {
 	l := &a.lines[i]
 	a.happen(i, lost, input{})
+	a.connect(i, None)
 	l.has, l.held = wish{}, nil
 	l.retryAt = a.now + gateways.LaterWait(refusalsMost)
 	a.at(l.retryAt, dueLine, i)
@@ -298,6 +319,7 @@
 	k := l.sentTalk
 	switch verb {
 	case mgcp.DeleteConnection:
+		a.connect(i, None)
 		if l.unsure != nil {
 			l.unsure = nil
 		} else {
@@ -307,6 +329,7 @@
 		l.auditAt = a.now + settled
 		a.at(l.auditAt, dueLine, i)
 	case mgcp.CreateConnection:
+		a.connect(i, Made)
 		l.held = k
 		k.conn, _ = r.Param("I")
 		k.told = k.sending
@@ -322,6 +345,7 @@
 			return
 		}
 	case mgcp.ModifyConnection:
+		a.connect(i, Made)
 		k.told = k.sending
 	}
 	a.push(i)
@@ -368,6 +392,7 @@
 	}
 	if gone {
 		was := l.held
+		a.connect(i, None)
 		l.has.mode, l.held = NoMedia, nil
 		if was == l.talk {
 			a.happen(i, vanished, input{})
