Gateways that moved are followed; calls kept in a ledger, begun and off by default

A gateway that had moved was asked for ever at its old address by a controller started anew, and on a bad network every other command went there; a repeat without parameters was taken for a contradiction and had a whole gateway audited. Also begun: internal/ledger, internal/recovery and circuit queries, so that standing calls outlive their controller's process (setting ledger; off).

--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -371,6 +371,12 @@
 	return ours
 }
 
+// Takes tells whether a circuit of a block of lines is a call at one of its lines.
+func (a *Agent) Takes(point, cic uint16) bool {
+	_, ours := a.taken[place{point, cic}]
+	return ours || point >= exchange.AtGateways && point < exchange.CalledFrom
+}
+
 // Settle does what follows from what the exchange sent.
 func (a *Agent) Settle(now policy.Tenths) {
 	a.now = now
--- a/internal/callagent/callagent_test.go
+++ b/internal/callagent/callagent_test.go
@@ -380,6 +380,32 @@
 	})
 }
 
+// A gateway that moved while the program was down is not at its address in the settings: it is followed to where it speaks from.
+func TestGatewayIsFollowedToWhereItSpeaksFrom(t *testing.T) {
+	m, _ := mgcp.ParseMap("(xxx)")
+	there := netip.MustParseAddrPort("127.0.0.1:3000")
+	var sent []netip.AddrPort
+	out := carrier{send: func(to netip.AddrPort, _ mgcp.Message) { sent = append(sent, to) }}
+	a := New(Site{Own: 4, Point: 5, Life: 7, Map: m, Abandon: []policy.Tenths{90000}, GoS: 12000, Rate: 100, Queue: 10,
+		Gateways: []Gateway{{Name: "gw", Addresses: []netip.AddrPort{where}, Endpoints: 1, Width: 1}}}, out, 1000)
+	if len(sent) != 1 || sent[0] != where {
+		t.Fatal(sent)
+	}
+	a.Datagram(2000, there, mgcp.Message{Verb: mgcp.Notify, Transaction: 5, Endpoint: "aaln/1@gw", Params: []mgcp.Param{{Name: "X", Value: "1"}, {Name: "O", Value: "L/hd"}}}, 0)
+	if last := sent[len(sent)-1]; last != there || len(sent) != 3 { // its answer, and the first command again
+		t.Fatal(sent)
+	}
+}
+
+type carrier struct {
+	send func(netip.AddrPort, mgcp.Message)
+}
+
+func (c carrier) Send(to netip.AddrPort, m mgcp.Message) { c.send(to, m) }
+func (c carrier) Offer(uint16, uint16, isup.Message)     {}
+func (c carrier) Note(string)                            {}
+func (c carrier) Told(int, string)                       {}
+
 // Each state says what becomes of each event, or that it changes nothing; a line that is called is answered in every state.
 func TestEveryStateAnswersACall(t *testing.T) {
 	for s := range states {
--- a/internal/callagent/door.go
+++ b/internal/callagent/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -58,6 +59,7 @@
 			}
 		}
 	}
+	a.heardFrom(gw, from)
 	a.gws[gw].sender.Response(a.now, m)
 	a.contrary = nil
 	a.look(gw)
@@ -105,6 +107,13 @@
 	}
 	g.presence.Heard(a.now)
 	g.suspect = false
+	a.heardFrom(gw, from)
+	// It speaks from where it is. In service only a report moves it; one that is being brought into service at an address of the
+	// settings that it has left would be asked there for ever, as it is heard and so is not held to be gone.
+	if at := g.presence.Standing(); at == gateways.Joining && m.Verb != mgcp.RestartInProgress && (len(g.Addresses) == 0 || g.Addresses[g.at%len(g.Addresses)] != from) {
+		a.adopt(gw, from)
+		defer a.join(gw)
+	}
 	reply := func(code int, comment string) {
 		a.out.Send(from, g.receiver.Done(a.now, mgcp.Message{Transaction: m.Transaction, Code: code, Comment: comment}))
 	}
@@ -140,6 +149,14 @@
 	return gateways.Owner(name, a.site.Notified, func(int) bool { return true })
 }
 
+// heardFrom has a gateway be spoken to at that of its addresses from which it was heard last.
+func (a *Agent) heardFrom(gw int, from netip.AddrPort) {
+	g := &a.gws[gw]
+	if n := slices.Index(g.Addresses, from); n >= 0 {
+		g.at = n
+	}
+}
+
 // adopt takes a gateway's address from what it reports, when it is another than the ones known.
 func (a *Agent) adopt(gw int, from netip.AddrPort) {
 	g := &a.gws[gw]
--- a/internal/callagent/wish.go
+++ b/internal/callagent/wish.go
@@ -161,8 +161,12 @@
 	gw := a.gatewayOf(p)
 	g := &a.gws[gw]
 	if fate == mgcp.Suspect {
-		g.suspect = true
-		g.at++ // another address of it, if there is one
+		// Another address of it, if there is one; not while it is heard: on a network that loses much, half of what was sent to a
+		// gateway that had moved went to the address it had left.
+		if !g.presence.Alive(p.at) {
+			g.suspect = true
+			g.at++
+		}
 		return
 	}
 	delete(a.outs, id)
--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -49,6 +49,7 @@
 	blocked bool // by the far end: no new call
 	heard   bool // the far end knew of the call that is being released
 	theirs  bool // the call that is being released was the far end's
+	unsure  bool // its call was kept from the program's life before: the far end is asked whether it still stands
 	call    uint32
 	lead    int // index of the circuit whose code the call's set-up named
 	idleAt  policy.Tenths
@@ -121,7 +122,7 @@
 	}
 	c.heard = s == Releasing && (c.state == Outgoing || c.state == Incoming)
 	c.theirs = s == Releasing && c.state == Incoming
-	c.state, c.call, c.lead = s, call, lead
+	c.state, c.call, c.lead, c.unsure = s, call, lead, false
 	c.repeats, c.dueAt = 0, now+repeatFirst
 	if c.state == Idle && !c.blocked {
 		g.free++
@@ -292,6 +293,105 @@
 // Answered tells that a backward message came for a call of ours: the far end knows it.
 func (g *Group) Answered(now policy.Tenths, cic uint16) { g.held(now, cic, Outgoing, Seized) }
 
+// Keep has circuits carry a call that stood in the program's life before, until the far end says otherwise. False: the group has
+// no such circuits, or they are taken.
+func (g *Group) Keep(now policy.Tenths, call uint32, b Bundle, theirs bool) bool {
+	taken, ok := g.members(b)
+	if !ok {
+		return false
+	}
+	for _, i := range taken {
+		if g.circuits[i].state != Idle {
+			return false
+		}
+	}
+	for _, i := range taken {
+		s := Outgoing
+		if theirs {
+			s = Incoming
+		}
+		g.set(now, i, s, call, taken[0])
+		g.circuits[i].unsure = true
+		g.circuits[i].dueAt = now
+	}
+	return true
+}
+
+// ResetRest puts every circuit into resetting that carries no kept call: what the far end holds there is not known.
+func (g *Group) ResetRest(now policy.Tenths) {
+	for i := range g.circuits {
+		if c := &g.circuits[i]; !c.unsure {
+			g.set(now, i, Resetting, None, i)
+			c.dueAt = now
+		}
+	}
+}
+
+// Indicator is the circuit state that a CQR tells (Q.763, 3.14).
+func (g *Group) Indicator(cic uint16) byte {
+	i, ok := g.index(cic)
+	if !ok {
+		return isup.Unequipped
+	}
+	c := &g.circuits[i]
+	blocked := byte(0)
+	if c.blocked {
+		blocked = 2 // remotely
+	}
+	switch c.state {
+	case Idle:
+		return isup.CircuitIdle | blocked
+	case Seized, Outgoing:
+		return isup.OutgoingBusy | blocked
+	case Incoming:
+		return isup.IncomingBusy | blocked
+	}
+	return isup.Transient
+}
+
+// Unsure tells whether the far end is still to be asked about a circuit; Sure that it agrees.
+func (g *Group) Unsure(cic uint16) bool {
+	i, ok := g.index(cic)
+	return ok && g.circuits[i].unsure
+}
+func (g *Group) Sure(cic uint16) {
+	if i, ok := g.index(cic); ok {
+		g.circuits[i].unsure = false
+	}
+}
+
+// UnsureCount counts the circuits that the far end has not agreed on yet.
+func (g *Group) UnsureCount() (n int) {
+	for i := range g.circuits {
+		if g.circuits[i].unsure {
+			n++
+		}
+	}
+	return n
+}
+
+// Drop ends what a circuit and the others of its call hold, as the far end does not know of it: idle at once, or, with reset, once
+// the far end has answered a reset. It returns the call.
+func (g *Group) Drop(now policy.Tenths, cic uint16, reset bool) uint32 {
+	i, ok := g.index(cic)
+	if !ok {
+		return None
+	}
+	call := g.circuits[i].call
+	to := Idle
+	if reset {
+		to = Resetting
+	}
+	from, end := g.multiplex(i)
+	for j := from; j < end; j++ {
+		if c := &g.circuits[j]; j == i || c.call == call && call != None {
+			g.set(now, j, to, None, j)
+			c.dueAt = now
+		}
+	}
+	return call
+}
+
 // Release tells that a release was sent for the call on a circuit: its answer is awaited.
 func (g *Group) Release(now policy.Tenths, cic uint16) {
 	g.held(now, cic, Releasing, Seized, Outgoing, Incoming)
@@ -400,9 +500,9 @@
 
 // Repeat is a message that is due again.
 type Repeat struct {
-	Type  isup.Type // REL, RSC or GRS
+	Type  isup.Type // REL, RSC, GRS or CQM
 	CIC   uint16
-	Range uint8 // GRS
+	Range uint8 // GRS, CQM
 	// Theirs tells that the call released was the far end's: its release goes back the way its set-up came.
 	Theirs bool
 }
@@ -413,7 +513,18 @@
 	var due []Repeat
 	for i := 0; i < len(g.circuits); i++ {
 		c := &g.circuits[i]
-		if now < c.dueAt || c.state != Releasing && c.state != Resetting {
+		if now < c.dueAt || c.state != Releasing && c.state != Resetting && !c.unsure {
+			continue
+		}
+		if c.unsure {
+			last := i
+			for last+1 < len(g.circuits) && (last+1)%isup.PerMultiplex != 0 && g.circuits[last+1].unsure && now >= g.circuits[last+1].dueAt {
+				last++
+				g.again(now, last)
+			}
+			g.again(now, i)
+			due = append(due, Repeat{Type: isup.CQM, CIC: code(i), Range: uint8(last - i)})
+			i = last
 			continue
 		}
 		if c.state == Releasing && c.lead != i {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"indigodrift/internal/exchange"
 	"indigodrift/internal/isup"
 	"indigodrift/internal/lag"
+	"indigodrift/internal/ledger"
 	"indigodrift/internal/m3ua"
 	"indigodrift/internal/membership"
 	"indigodrift/internal/register"
@@ -38,11 +39,13 @@
 	OwnSwitch  string
 	Register   string
 	Neighbours []Neighbour
-	Inbox      int       // messages that may wait to be handled
-	LinkMost   int       // octets that may wait on one link
-	Control    string    // address that takes operators' orders, "" none
-	Numbers    *Numbers  // nil: the first digits of a number name the exchange
-	Gateways   *Gateways // nil: no phones at MGCP gateways
+	Inbox      int         // messages that may wait to be handled
+	LinkMost   int         // octets that may wait on one link
+	Control    string      // address that takes operators' orders, "" none
+	Numbers    *Numbers    // nil: the first digits of a number name the exchange
+	Gateways   *Gateways   // nil: no phones at MGCP gateways
+	Ledger     string      // file that calls are kept in, "" none
+	Disk       ledger.Disk // nil: this machine's
 }
 
 // Build makes the deciding module of an exchange.
@@ -114,6 +117,7 @@
 	tables *tables
 	orders net.Listener
 	agent  *agent
+	ledger *ledger.Ledger
 	Ready  func() // called once when the own switch first answers
 	// ListenPacket opens the socket that gateways are spoken to through; tests have it in memory.
 	ListenPacket func(address string) (net.PacketConn, error)
@@ -150,6 +154,11 @@
 	if site.Gateways != nil {
 		s.agent = newAgent(s, site.Gateways)
 	}
+	if site.Ledger != "" {
+		if err := s.openLedger(site.Ledger); err != nil {
+			return nil, err
+		}
+	}
 	if site.Control != "" {
 		var err error
 		if s.orders, err = net.Listen("tcp", site.Control); err != nil {
@@ -177,6 +186,10 @@
 	if s.orders != nil {
 		all.Go(func() { s.takeOrders(carrying, s.orders) })
 	}
+	if s.ledger != nil {
+		go s.ledger.Run()
+		defer s.ledger.Close()
+	}
 	if s.agent != nil {
 		if err := s.agent.open(carrying, &all); err != nil {
 			stop()
--- a/internal/control/gateways.go
+++ b/internal/control/gateways.go
@@ -13,6 +13,7 @@
 	"indigodrift/internal/exchange"
 	"indigodrift/internal/isup"
 	"indigodrift/internal/mgcp"
+	"indigodrift/internal/recovery"
 	"indigodrift/policy"
 )
 
@@ -143,6 +144,11 @@
 	return n != nil && n.a.Hear(point, m.CIC, m)
 }
 
+// takes tells whether a place is a line at a gateway.
+func (n *agent) takes(p recovery.Place) bool {
+	return n != nil && !p.Trunk && n.a.Takes(p.Point, p.CIC)
+}
+
 func (n *agent) datagram(now policy.Tenths, d datagram) {
 	n.a.Waits(now, now-d.at)
 	for _, m := range d.all {
--- a/internal/day/file.go
+++ b/internal/day/file.go
@@ -54,6 +54,7 @@
 	Troubles    []Trouble
 	Ported      float64 // share of callers' numbers that were ported, asked for by ENUM; 0: not asked for
 	Gateways    Gateways
+	Ledger      bool // calls outlive a controller's process
 	Tables      bool // destinations are found by tables of numbers, that troubles may change
 }
 
@@ -86,6 +87,7 @@
 	s.Uneven = b.Number("uneven", 0, 3, 0.4)
 	s.ProcessorAt = b.Number("processors_at", 0.01, 1, 0.75)
 	s.Tables = b.Flag("tables", false)
+	s.Ledger = b.Flag("ledger", false)
 	if s.Ported = b.Number("ported", 0, 1, 0); s.Ported > 0 && !s.Tables {
 		b.FaultAt("ported", "numbers cannot be ported in a day without tables = true")
 	}
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -49,6 +49,7 @@
 	Bearers  []Row
 	Windows  []Row // of 10 s
 	Tries    int
+	Cuts     int // standing calls that the network ended
 	Phones   PhoneRow
 	Breaches []audit.Breach
 	CPU      time.Duration // all controllers together
@@ -71,6 +72,7 @@
 	}
 	for _, c := range callers {
 		revenue, within := s.Deployment.Bearers[c.Bearer].Revenue, s.Habits.GoS[c.Bearer]
+		rep.Cuts += c.Cuts
 		rep.All.add(c, revenue, within)
 		rep.Bearers[c.Bearer].add(c, revenue, within)
 		rep.Windows[min(int(c.At/window), len(rep.Windows)-1)].add(c, revenue, within)
@@ -120,7 +122,7 @@
 		}
 	}
 	line, err := json.Marshal(map[string]any{"offered": r.All.Offered, "stood": r.All.Stood, "late": r.All.Late, "refused": r.All.Refused,
-		"failed": r.All.Failed, "cut": r.All.Cut, "broken": len(r.Breaches), "mixed": r.Mixed, "service": round(r.All.Service),
+		"failed": r.All.Failed, "cut": r.All.Cut, "cuts": r.Cuts, "broken": len(r.Breaches), "mixed": r.Mixed, "service": round(r.All.Service),
 		"phones": r.Phones, "tries": r.Tries, "cpu_ms": r.CPU.Milliseconds(), "dial_late_ms": r.DialLate.Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
--- a/internal/day/sitefile.go
+++ b/internal/day/sitefile.go
@@ -29,6 +29,9 @@
 	during(b, "come_back_most", d.ComeBackMost)
 	during(b, "drain_grace", d.DrainGrace)
 	b.SetAttributeValue("cancels", cty.BoolVal(d.CancelsAllowed))
+	if r.script.Ledger {
+		text(b, "ledger", filepath.Join(r.dir, fmt.Sprintf("ledger-%d", e)))
+	}
 	if r.script.Tables {
 		text(b, "control", r.controls[e])
 		n := b.AppendNewBlock("numbers", nil).Body()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/isup"
 	"indigodrift/internal/numbers"
+	"indigodrift/internal/recovery"
 	"indigodrift/policy"
 )
 
@@ -106,7 +107,8 @@
 
 // State of a call. become is the one place that changes it.
 //
-//	Asking    -> Offered (to the module), Answering (its line rings), Over; where its number leads is being found
+//	Asking    -> Offered (to the module), Answering (its line rings), Over; where its number leads is being found; Standing where it
+//	             was kept from the program's life before
 //	Offered   -> Trying (a set-up sent on), Over
 //	Trying    -> Offered (that try ended, the module decides), Standing, Over
 //	Answering -> Standing, Over
@@ -122,7 +124,7 @@
 	Over
 )
 
-var mayBecome = [...][]State{Asking: {Offered, Answering, Over}, Offered: {Trying, Over}, Trying: {Offered, Standing, Over},
+var mayBecome = [...][]State{Asking: {Offered, Answering, Standing, Over}, Offered: {Trying, Over}, Trying: {Offered, Standing, Over},
 	Answering: {Standing, Over}, Standing: {Over}, Over: nil}
 
 // leg is one side of a call: where it came from or where its present try went.
@@ -166,6 +168,8 @@
 	up      bool
 	life    string
 	changed bool
+	anew    bool          // this exchange has started anew and knows of its circuits what was kept
+	auditAt policy.Tenths // not asked about them before
 }
 
 type lineKey struct {
@@ -180,6 +184,7 @@
 	dueLeave                // the caller gives up
 	dueWake                 // the module asked to be woken
 	dueAudit                // circuits with something to repeat
+	dueAsk                  // a neighbour's turn to be asked has come
 )
 
 type due struct {
@@ -253,13 +258,19 @@
 	waiting  int // calls that have no final answer yet
 	number   *Numbering
 	told     []portTold
+	keeper   Keeper
+	wall     func(policy.Tenths) int64
+	coldFrom policy.Tenths   // nothing goes to a cold switch before
+	fails    []recovery.Kept // callers of the life before who are to be told that their calls failed
+	cuts     []recovery.Place
+	withheld []policy.Switch // cold ones, as listed
 }
 
 // New makes the exchange; build makes its decider round the interface that the exchange offers to it.
 func New(d policy.Deployment, neighbours []Neighbour, out Carrier, now policy.Tenths,
 	build func(policy.Deployment, policy.Exchange, policy.Tenths) Decider) *Exchange {
 	x := &Exchange{own: d.Own, d: d, out: out, now: now, byNumber: map[int]int{}, bySwitch: map[uint32]int{},
-		calls: map[uint32]*call{}, lines: map[lineKey]uint32{}, advice: map[int]int{}}
+		calls: map[uint32]*call{}, lines: map[lineKey]uint32{}, advice: map[int]int{}, keeper: noKeeper{}, wall: func(policy.Tenths) int64 { return 0 }}
 	for i, n := range neighbours {
 		x.groups = append(x.groups, group{number: n.Number, g: circuit.New(Point(d.Own), Point(n.Number), n.Circuits)})
 		x.byNumber[n.Number] = i
@@ -309,8 +320,15 @@
 			}
 		case dueLeave:
 			x.expire(uint32(d.token))
+		case dueAsk:
+			x.audit()
 		case dueAudit:
 			x.audit()
+			if len(x.withheld) > 0 && now >= x.coldFrom {
+				list := x.withheld
+				x.withheld = nil
+				x.Listed(now, false, list)
+			}
 			x.at(now+auditEvery, dueAudit, 0)
 		}
 		x.settle()
@@ -405,6 +423,7 @@
 	}
 	if s == Over {
 		delete(x.calls, k.id)
+		x.keeper.Drop(k.id)
 		x.unnumber(k)
 		if k.counted && !k.closed { // its line answered nothing, or its side is gone: nobody is owed an answer
 			k.closed = true
@@ -475,7 +494,7 @@
 func (x *Exchange) audit() {
 	for i := range x.groups {
 		g := &x.groups[i]
-		if !g.up {
+		if !g.up || x.now < g.auditAt {
 			continue
 		}
 		for _, r := range g.g.Due(x.now) {
@@ -498,7 +517,17 @@
 			x.groups[i].ready = false
 		}
 	}
+	if whole {
+		x.withheld = nil
+	}
 	seen := map[int]bool{}
+	for i := range list {
+		// The life before may have used the budget of a cold switch up.
+		if s := &list[i]; now < x.coldFrom && s.BootAt > 0 && now < s.BootAt+x.d.RampTime {
+			x.withheld = append(x.withheld, *s)
+			s.Ready = false
+		}
+	}
 	for _, s := range list {
 		if i, ok := x.byNumber[s.Number]; ok {
 			x.bySwitch[s.ID] = i
@@ -528,11 +557,19 @@
 	x.now = now
 	g := &x.groups[peer]
 	g.up, g.changed = true, true
-	if g.life != life {
+	switch {
+	case g.life != life:
 		g.life = life
 		x.lose(peer, g.g.Reset(now))
+		x.keeper.Knows(g.number, life)
+		x.audit()
+	case g.anew: // the switch that knew our calls: those that were kept stand, all other circuits start anew
+		g.g.ResetRest(now)
+		x.keeper.Knows(g.number, life)
 		x.audit()
+		x.at(g.auditAt, dueAsk, 0)
 	}
+	g.anew = false
 	x.settle()
 }
 
@@ -558,7 +595,12 @@
 			x.vanish(k, isup.NetworkOutOfOrder)
 		}
 	}
+	if x.ownLife != "" && x.ownLife != life {
+		x.fails, x.cuts = nil, nil
+	}
 	x.ownLife = life
+	x.keeper.Knows(-1, life)
+	x.tellKept()
 	x.settle()
 }
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -5,6 +5,7 @@
 
 	"indigodrift/internal/circuit"
 	"indigodrift/internal/isup"
+	"indigodrift/internal/recovery"
 	"indigodrift/policy"
 )
 
@@ -118,6 +119,10 @@
 			reply(isup.GRA)
 			x.lose(from.Peer, lost)
 		}
+	case isup.CQM:
+		x.answerQuery(from, m)
+	case isup.CQR:
+		x.compare(from.Peer, m)
 	case isup.GRA:
 		g.g.ResetDone(x.now, m.CIC, int(m.Range)+1)
 	}
@@ -242,6 +247,9 @@
 	}
 	x.count(k)
 	k.decided = true
+	if !k.ask.Transit {
+		x.keeper.Put(x.kept(k, recovery.Asked))
+	}
 	k.ask.TTL = k.leavesAt - x.now
 	x.become(k, Offered)
 	x.decide.Offer(x.now, k.ask)
@@ -307,6 +315,7 @@
 // stand passes an answer back to the caller's side.
 func (x *Exchange) stand(k *call, says isup.Says) {
 	x.become(k, Standing)
+	x.keeper.Put(x.kept(k, recovery.Standing))
 	x.answered(k, Stood, 0)
 	x.out.Transmit(k.in.hop, isup.Message{CIC: k.in.bundle.CIC, Type: isup.ANM,
 		Says: isup.Says{Has: says.Has & isup.PartSession, Session: says.Session}})
--- /dev/null
+++ b/internal/ledger/frame.go
@@ -0,0 +1,226 @@
+// Package ledger keeps on disk what must outlive a controller's process: its calls and the lives it knew. It decides nothing
+// about them; internal/recovery does when they are read again. The file is a header and frames, each with its length and a
+// checksum, appended in order; reading goes on to the first frame that is not whole and says how much was left and why.
+// docs/notes-restart.md has why it is no database.
+package ledger
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"indigodrift/internal/isup"
+	"indigodrift/internal/recovery"
+)
+
+// Kind of a frame.
+type Kind byte
+
+const (
+	Head Kind = 'H' // which exchange it is for; the first frame
+	Call Kind = 'C' // a call is in a phase
+	Over Kind = 'O' // a call is over
+	Far  Kind = 'F' // the life of a neighbour's switch; number -1: the own one
+	Beat Kind = 'B' // sign of life
+	Lost Kind = 'L' // some records could not be kept before this one
+	Full Kind = 'S' // the snapshot ends here: what was in the file before it counts no more
+)
+
+// Record is one frame.
+type Record struct {
+	Kind   Kind
+	Site   uint64 // Head
+	Number int    // Far
+	Text   string // Far
+	At     int64  // Beat
+	Call   recovery.Kept
+}
+
+const (
+	magic   = "indigoledger"
+	version = 2 // 1 had calls without Slots
+	lenMost = 1 << 12
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrDamaged is wrapped by what is told of a file that is not whole.
+var ErrDamaged = errors.New("damaged ledger")
+
+// appendFrame adds a record as a frame: length, checksum, payload.
+func appendFrame(b []byte, r Record) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, 0, 0)
+	b = append(b, byte(r.Kind))
+	switch r.Kind {
+	case Head:
+		b = binary.BigEndian.AppendUint64(b, r.Site)
+	case Far:
+		b = binary.BigEndian.AppendUint32(b, uint32(int32(r.Number)))
+		b = append(b, r.Text[:min(len(r.Text), 255)]...)
+	case Beat:
+		b = binary.BigEndian.AppendUint64(b, uint64(r.At))
+	case Over:
+		b = binary.BigEndian.AppendUint32(b, r.Call.ID)
+	case Call:
+		k := r.Call
+		b = binary.BigEndian.AppendUint32(b, k.ID)
+		flags := byte(k.Phase) << 4
+		for i, set := range []bool{k.Transit, k.In.Trunk, k.Out.Trunk} {
+			if set {
+				flags |= 1 << i
+			}
+		}
+		b = append(b, flags)
+		for _, p := range []recovery.Place{k.In, k.Out} {
+			b = binary.BigEndian.AppendUint16(b, uint16(p.Number))
+			b = binary.BigEndian.AppendUint16(b, p.Point)
+			b = binary.BigEndian.AppendUint16(b, p.CIC)
+			b = binary.BigEndian.AppendUint32(b, p.Slots)
+		}
+		b = binary.BigEndian.AppendUint16(b, k.Ref.Point)
+		b = binary.BigEndian.AppendUint32(b, k.Ref.Identity)
+		b = binary.BigEndian.AppendUint64(b, uint64(k.Since))
+		b = binary.BigEndian.AppendUint64(b, uint64(k.Until))
+	}
+	body := b[at+6:]
+	binary.BigEndian.PutUint16(b[at:], uint16(len(body)))
+	binary.BigEndian.PutUint32(b[at+2:], crc32.Checksum(body, table))
+	return b
+}
+
+const (
+	callSize   = 4 + 1 + 2*10 + 6 + 16
+	callSizeV1 = 4 + 1 + 2*6 + 6 + 16
+)
+
+// readFrame takes the first frame; n is its size.
+func readFrame(b []byte, version byte) (r Record, n int, err error) {
+	if len(b) < 7 {
+		return r, 0, fmt.Errorf("%w: %d octets of a frame", ErrDamaged, len(b))
+	}
+	size := int(binary.BigEndian.Uint16(b))
+	if size == 0 || size > lenMost || len(b) < 6+size {
+		return r, 0, fmt.Errorf("%w: a frame of %d octets, %d are there", ErrDamaged, size, len(b)-6)
+	}
+	body := b[6 : 6+size]
+	if crc32.Checksum(body, table) != binary.BigEndian.Uint32(b[2:]) {
+		return r, 0, fmt.Errorf("%w: checksum", ErrDamaged)
+	}
+	r.Kind, n = Kind(body[0]), 6+size
+	wrong := fmt.Errorf("%w: a frame %q of %d octets", ErrDamaged, r.Kind, size)
+	p := body[1:]
+	switch r.Kind {
+	case Head:
+		if len(p) != 8 {
+			return r, 0, wrong
+		}
+		r.Site = binary.BigEndian.Uint64(p)
+	case Far:
+		if len(p) < 4 {
+			return r, 0, wrong
+		}
+		r.Number, r.Text = int(int32(binary.BigEndian.Uint32(p))), string(p[4:])
+	case Beat:
+		if len(p) != 8 {
+			return r, 0, wrong
+		}
+		r.At = int64(binary.BigEndian.Uint64(p))
+	case Over:
+		if len(p) != 4 {
+			return r, 0, wrong
+		}
+		r.Call.ID = binary.BigEndian.Uint32(p)
+	case Lost, Full:
+		if len(p) != 0 {
+			return r, 0, wrong
+		}
+	case Call:
+		if version == 1 && len(p) != callSizeV1 || version != 1 && len(p) != callSize {
+			return r, 0, wrong
+		}
+		k := &r.Call
+		k.ID = binary.BigEndian.Uint32(p)
+		flags := p[4]
+		k.Phase, k.Transit = recovery.Phase(flags>>4), flags&1 != 0
+		k.In.Trunk, k.Out.Trunk = flags&2 != 0, flags&4 != 0
+		p = p[5:]
+		for _, to := range []*recovery.Place{&k.In, &k.Out} {
+			to.Number, to.Point, to.CIC = int(binary.BigEndian.Uint16(p)), binary.BigEndian.Uint16(p[2:]), binary.BigEndian.Uint16(p[4:])
+			if p = p[6:]; version != 1 {
+				to.Slots = binary.BigEndian.Uint32(p)
+				p = p[4:]
+			}
+		}
+		k.Ref = isup.Reference{Point: binary.BigEndian.Uint16(p), Identity: binary.BigEndian.Uint32(p[2:])}
+		k.Since, k.Until = int64(binary.BigEndian.Uint64(p[6:])), int64(binary.BigEndian.Uint64(p[14:]))
+	default:
+		return r, 0, wrong
+	}
+	return r, n, nil
+}
+
+// header is what a file begins with.
+func header() []byte { return append([]byte(magic), version) }
+
+// Contents is what a file holds.
+type Contents struct {
+	Life    recovery.Life
+	Calls   map[uint32]recovery.Kept
+	Frames  int
+	Version byte
+	Good    int    // octets that were read
+	Left    int    // octets after them that were not
+	Why     string // why not, "" where all was read
+}
+
+// Read reads a file's octets forward to the last good place.
+func Read(b []byte) Contents {
+	c := Contents{Calls: map[uint32]recovery.Kept{}, Life: recovery.Life{Far: map[int]string{}}}
+	stop := func(at int, why string) Contents {
+		c.Good, c.Left, c.Why = at, len(b)-at, why
+		return c
+	}
+	if len(b) < len(magic)+1 || string(b[:len(magic)]) != magic {
+		return stop(0, "it does not begin as a ledger does")
+	}
+	if c.Version = b[len(magic)]; c.Version == 0 || c.Version > version {
+		return stop(0, fmt.Sprintf("its format is %d, this program knows up to %d", c.Version, version))
+	}
+	for at := len(magic) + 1; ; {
+		if at == len(b) {
+			return stop(at, "")
+		}
+		r, n, err := readFrame(b[at:], c.Version)
+		if err != nil {
+			return stop(at, err.Error())
+		}
+		at += n
+		c.Frames++
+		c.take(r)
+	}
+}
+
+func (c *Contents) take(r Record) {
+	switch r.Kind {
+	case Head:
+		c.Life.Site = r.Site
+	case Call:
+		c.Calls[r.Call.ID] = r.Call
+	case Over:
+		delete(c.Calls, r.Call.ID)
+	case Far:
+		if r.Number < 0 {
+			c.Life.Own = r.Text
+		} else {
+			c.Life.Far[r.Number] = r.Text
+		}
+	case Beat:
+		c.Life.Alive = r.At
+	case Lost:
+		c.Life.Marked = true
+	case Full:
+		c.Life.Marked = false
+	}
+}
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -157,7 +157,12 @@
 func (s *Sender) Response(now policy.Tenths, r Message) {
 	t := s.open[r.Transaction]
 	if t == nil {
-		if was := s.late[r.Transaction]; was.code != 0 && !r.IsProvisional() && was.what != digest(r) {
+		// What a peer has seen acknowledged it repeats without its parameters: no contradiction, though on a network that held
+		// commands up it was taken for one, and every such repeat had a whole gateway audited. An answer to what was never sent, or is
+		// forgotten, tells that something old was carried out just now.
+		was, known := s.late[r.Transaction]
+		stripped := r.Code == was.code && len(r.Params)+len(r.Session) == 0
+		if !r.IsProvisional() && (!known || was.code != 0 && was.what != digest(r) && !stripped) {
 			s.out.Contradicted(r.Transaction, was.code, r)
 		}
 		return
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -52,6 +52,7 @@
 	s.Inbox = queues.Whole("inbox", 16, 1<<20, 8192)
 	s.LinkMost = queues.Whole("link_octets", 4096, 1<<30, 1<<20)
 	queues.Done()
+	s.Ledger = b.Text("ledger", false, "")
 	if b.Has("control") {
 		s.Control = b.Address("control", true)
 	}
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -134,6 +134,7 @@
 	discon  mgcp.Disconnected
 	lost    bool
 	down    bool // as noted
+	stale   bool // what is being carried out is older than transactions are kept
 	serial  uint32
 	lives   int
 	nextTry time.Time
@@ -288,7 +289,15 @@
 			do()
 		case r := <-g.in:
 			heard := false
-			g.through(func() { heard = true; g.receive(r) }, nil)
+			came := time.Now()
+			g.through(func() {
+				heard = true
+				// Held up by the network past the time for which transactions are kept, a command is carried out twice, and no call
+				// agent can help it: what its user hears then is not the call agent's answer.
+				g.stale = time.Since(came) > 29*time.Second
+				g.receive(r)
+				g.stale = false
+			}, nil)
 			if !heard {
 				g.swallowed(r.b)
 			}
--- a/internal/standin/subscribers.go
+++ b/internal/standin/subscribers.go
@@ -21,6 +21,7 @@
 
 	Dials   int
 	Stood   time.Duration // when it first stood, 0 never
+	Cuts    int           // times that it stood and the network ended it
 	Cut     bool          // it stood and was cut, and did not stand again in time
 	Refused int
 	Failed  int
@@ -305,6 +306,7 @@
 	s.end(d)
 	switch {
 	case d.stands:
+		c.Cuts++
 		c.Cut, c.cutAt = true, now
 		heap.Push(&s.steps, step{at: now + time.Duration(s.chance.Float64()*float64(s.habits.CutBack)), what: 'd', c: c, cut: true})
 		return
