--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,210 @@
+package ledger_test
+
+import (
+	"errors"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigodrift/internal/isup"
+	"indigodrift/internal/ledger"
+	"indigodrift/internal/memnet"
+	"indigodrift/internal/recovery"
+
+	"pgregory.net/rapid"
+)
+
+func anyKept(t *rapid.T, id uint32) recovery.Kept {
+	place := func(name string) recovery.Place {
+		return recovery.Place{Trunk: rapid.Bool().Draw(t, name), Number: rapid.IntRange(0, 998).Draw(t, name), Point: rapid.Uint16().Draw(t, name),
+			CIC: rapid.Uint16().Draw(t, name), Slots: rapid.Uint32().Draw(t, name)}
+	}
+	return recovery.Kept{ID: id, Phase: recovery.Phase(rapid.IntRange(0, 1).Draw(t, "phase")), In: place("in"), Out: place("out"), Transit: rapid.Bool().Draw(t, "transit"),
+		Ref: isup.Reference{Point: rapid.Uint16().Draw(t, "point"), Identity: rapid.Uint32().Draw(t, "identity")}, Since: rapid.Int64().Draw(t, "since"), Until: rapid.Int64().Draw(t, "until")}
+}
+
+// kept drives a ledger on a disk in memory with calls that come and go, and returns what was live at its end and the file.
+func kept(t *rapid.T, disk *memnet.Disk, steps int) (map[uint32]recovery.Kept, []byte) {
+	l, _, err := ledger.Open("l", 7, disk, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	live := map[uint32]recovery.Kept{}
+	for range steps {
+		id := rapid.Uint32Range(1, 20).Draw(t, "id")
+		if rapid.Bool().Draw(t, "put") {
+			live[id] = anyKept(t, id)
+			l.Put(live[id])
+		} else {
+			delete(live, id)
+			l.Drop(id)
+		}
+		time.Sleep(time.Duration(rapid.IntRange(0, 8).Draw(t, "ms")) * time.Millisecond)
+	}
+	l.Knows(3, "4")
+	l.Knows(-1, "2")
+	l.Close()
+	return live, disk.Get("l")
+}
+
+func inBubble(t *testing.T, do func(t *rapid.T)) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) { do(rt) })
+	})
+}
+
+// What is live at the end is what is read, whatever came and went and however it was gathered; the lives of switches as well.
+func TestWhatIsLiveIsRead(t *testing.T) {
+	inBubble(t, func(t *rapid.T) {
+		live, file := kept(t, memnet.NewDisk(), rapid.IntRange(0, 60).Draw(t, "steps"))
+		c := ledger.Read(file)
+		if c.Why != "" || c.Left != 0 || !maps.Equal(c.Calls, live) || c.Life.Site != 7 || c.Life.Own != "2" || c.Life.Far[3] != "4" || c.Life.Alive == 0 {
+			t.Fatalf("read %+v\nwant %+v", c, live)
+		}
+	})
+}
+
+// Cut at every octet, and with every bit of a record turned, a file reads as it was at some earlier time, says that it is damaged,
+// and holds no call that never was.
+func TestDamagedFilesReadToTheLastGoodPlace(t *testing.T) {
+	inBubble(t, func(t *rapid.T) {
+		_, file := kept(t, memnet.NewDisk(), rapid.IntRange(1, 5).Draw(t, "steps"))
+		whole := ledger.Read(file)
+		seen := map[recovery.Kept]bool{}
+		ends := map[int]bool{}
+		for n := 0; n <= len(file); n++ {
+			c := ledger.Read(file[:n])
+			if c.Good+c.Left != n || c.Frames > whole.Frames {
+				t.Fatalf("cut at %d: %+v", n, c)
+			}
+			if c.Why == "" {
+				ends[n] = true
+			}
+			for _, k := range c.Calls {
+				seen[k] = true
+			}
+		}
+		if len(ends) != whole.Frames+1 {
+			t.Fatalf("%d places where the file is whole, %d frames", len(ends), whole.Frames)
+		}
+		bit := rapid.IntRange(0, 8*len(file)-1).Draw(t, "bit")
+		turned := append([]byte(nil), file...)
+		turned[bit/8] ^= 1 << (bit % 8)
+		c := ledger.Read(turned)
+		if c.Why == "" || c.Good > bit/8 {
+			t.Fatalf("bit %d turned, and %d of %d octets were read: %q", bit, c.Good, len(file), c.Why)
+		}
+		for _, k := range c.Calls {
+			if !seen[k] {
+				t.Fatalf("a call that never was: %+v", k)
+			}
+		}
+	})
+}
+
+// A disk that fails, is slow or gone holds up nobody; once it is back the file is whole again and holds what is live.
+func TestBadDiskHoldsUpNobodyAndIsMadeGood(t *testing.T) {
+	for _, bad := range []string{"full", "slow"} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := memnet.NewDisk()
+			var told []string
+			l, _, err := ledger.Open("l", 7, disk, func(text string) { told = append(told, text) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			go l.Run()
+			l.Put(recovery.Kept{ID: 1})
+			time.Sleep(time.Second)
+			if bad == "full" {
+				disk.Fail(errors.New("no space left on device"))
+			} else {
+				disk.Slow(func() { time.Sleep(2 * time.Second) })
+			}
+			from := time.Now()
+			for id := range uint32(1000) {
+				l.Put(recovery.Kept{ID: id + 10, Since: int64(id)})
+				if id%2 == 0 {
+					l.Drop(id + 10)
+				}
+				if id%100 == 0 {
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+			l.Drop(1)
+			if took := time.Since(from); took != time.Second {
+				t.Errorf("%s: putting took %v", bad, took)
+			}
+			if c := ledger.Read(disk.Get("l")); c.Why != "" || len(c.Calls) == 0 {
+				t.Errorf("%s: the file reads as %+v while the disk is bad", bad, c)
+			}
+			disk.Fail(nil)
+			disk.Slow(nil)
+			time.Sleep(20 * time.Second)
+			l.Close()
+			c := ledger.Read(disk.Get("l"))
+			if c.Why != "" || len(c.Calls) != 500 || c.Calls[1].ID != 0 {
+				t.Errorf("%s: %d calls, %q", bad, len(c.Calls), c.Why)
+			}
+			if bad == "full" && len(told) != 2 {
+				t.Errorf("staff were told %q", told)
+			}
+		})
+	}
+}
+
+// A long day does not make a long file, and a kill at any write of a compaction leaves a file that is whole.
+func TestFileStaysSmallThroughCompactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := memnet.NewDisk()
+		l, _, err := ledger.Open("l", 7, disk, func(string) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go l.Run()
+		most := 0
+		for id := range uint32(60000) {
+			l.Put(recovery.Kept{ID: id, Phase: recovery.Standing})
+			if id >= 100 {
+				l.Drop(id - 100)
+			}
+			if id%50 == 0 {
+				time.Sleep(6 * time.Millisecond)
+			}
+			if id%997 == 0 {
+				file := disk.Get("l")
+				most = max(most, len(file))
+				if c := ledger.Read(file); c.Why != "" || len(c.Calls) > 250 {
+					t.Fatalf("after %d calls: %d are held, %q", id, len(c.Calls), c.Why)
+				}
+			}
+		}
+		l.Close()
+		if c := ledger.Read(disk.Get("l")); len(c.Calls) != 100 || most > 1<<21 || l.Wrote() < 3<<20 {
+			t.Fatalf("%d calls, the file had up to %d octets, %d were written", len(c.Calls), most, l.Wrote())
+		}
+	})
+}
+
+func TestFilesOfAnotherSortAreSetAside(t *testing.T) {
+	for name, b := range map[string][]byte{"future": []byte("indigoledger\x09aaaa"), "other": []byte("SQLite format 3\x00"), "short": []byte("indi")} {
+		disk := memnet.NewDisk()
+		disk.Put("l", b)
+		var told []string
+		_, c, err := ledger.Open("l", 7, disk, func(text string) { told = append(told, text) })
+		if err != nil || len(c.Calls) != 0 || c.Why == "" || len(told) != 1 || string(disk.Get("l.damaged")) != string(b) {
+			t.Errorf("%s: %v %+v %q", name, err, c, told)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("indigoledger\x02\x00\x01\x00\x00\x00\x00S"))
+	f.Add([]byte("indigoledger\x01"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if c := ledger.Read(b); c.Good+c.Left != len(b) || c.Good < 0 || (c.Why == "") != (c.Left == 0 && len(b) > 12) {
+			t.Fatalf("%+v of %d octets", c, len(b))
+		}
+	})
+}
