A restarted exchange is tested against what was kept: asked, kept, told, reset

Cause: taking up kept calls had no test of its own. An exchange with two calls that stand and one being set up is started anew: no circuit that carries a kept call is reset, the waiting caller is told once, an idle far end ends one call and its caller hears it, another life of either switch keeps nothing.

--- /dev/null
+++ b/internal/exchange/restore_test.go
@@ -0,0 +1,168 @@
+package exchange
+
+import (
+	"testing"
+
+	"indigodrift/internal/circuit"
+	"indigodrift/internal/isup"
+	"indigodrift/internal/recovery"
+	"indigodrift/policy"
+)
+
+// notebook is a keeper in memory.
+type notebook struct {
+	calls map[uint32]recovery.Kept
+	far   map[int]string
+}
+
+func (n *notebook) Put(k recovery.Kept)           { n.calls[k.ID] = k }
+func (n *notebook) Drop(id uint32)                { delete(n.calls, id) }
+func (n *notebook) Knows(number int, life string) { n.far[number] = life }
+
+// sentBy keeps all that an exchange sends.
+type sentBy struct {
+	all []isup.Message
+	to  []Hop
+}
+
+func (c *sentBy) Transmit(to Hop, m isup.Message) { c.all, c.to = append(c.all, m), append(c.to, to) }
+func (c *sentBy) Follow()                         {}
+func (c *sentBy) Note(string)                     {}
+func (c *sentBy) Answered(Answer)                 {}
+
+func (c *sentBy) count(t isup.Type) (n int) {
+	for _, m := range c.all {
+		if m.Type == t {
+			n++
+		}
+	}
+	return n
+}
+
+func wallOf(at policy.Tenths) int64 { return int64(at) }
+
+// again is an exchange started anew with what was kept, its far switch and its own in a life that is told.
+func again(t *testing.T, now policy.Tenths, kept *notebook, own, far string) (*Exchange, *sentBy, *notebook) {
+	t.Helper()
+	out := &sentBy{}
+	x := New(policy.Deployment{Own: 0, MaxTries: 4, ReleaseTime: 3000, ColdFrom: 1, FallMultiple: 3, FallWindow: 15000, RampTime: 1,
+		Bearers: []policy.Bearer{{Revenue: 1, GoSTarget: 12000, Abandon: 90000}}}, []Neighbour{{1, 62}}, out, now,
+		func(d policy.Deployment, e policy.Exchange, now policy.Tenths) Decider { return policy.New(d, e, now) })
+	next := &notebook{calls: map[uint32]recovery.Kept{}, far: map[int]string{}}
+	x.Keep(next, wallOf)
+	var all []recovery.Kept
+	for _, k := range kept.calls {
+		all = append(all, k)
+	}
+	life := recovery.Life{Alive: wallOf(now) - 5000, Own: kept.far[-1], Far: kept.far}
+	x.Restore(now, life, recovery.Judge(wallOf(now), life, all, recovery.Sites{Circuits: map[int]int{1: 62}, Lines: func(uint16) bool { return true }}))
+	x.OwnUp(now, own)
+	x.LinkUp(now, 0, far)
+	for range 20 {
+		now += 1000
+		x.Tick(now)
+	}
+	return x, out, next
+}
+
+// before is an exchange with two calls that stand and one that is being set up, as kept.
+func before(t *testing.T) (*notebook, policy.Tenths, []uint16) {
+	t.Helper()
+	x, out, now := lone(62)
+	kept := &notebook{calls: map[uint32]recovery.Kept{}, far: map[int]string{}}
+	x.Keep(kept, wallOf)
+	x.keeper.Knows(1, "1")
+	x.keeper.Knows(-1, "1")
+	var cics []uint16
+	for i := range uint32(3) {
+		now += 200
+		x.dial(now, i+1)
+		cics = append(cics, out.m.CIC)
+		if i < 2 {
+			x.Receive(now+50, Hop{Side: Ahead}, isup.Message{CIC: out.m.CIC, Type: isup.ANM}, 0)
+		}
+	}
+	if len(kept.calls) != 3 || x.Standing() != 2 {
+		t.Fatalf("%d calls are kept, %d stand", len(kept.calls), x.Standing())
+	}
+	return kept, now + 100, cics
+}
+
+func TestRestartedExchangeAsksAndKeepsWhatStands(t *testing.T) {
+	kept, now, cics := before(t)
+	x, out, next := again(t, now, kept, "1", "1")
+	if x.Standing() != 2 || x.Unagreed() != 2 || out.count(isup.CQM) == 0 || out.count(isup.GRS)+out.count(isup.RSC) == 0 {
+		t.Fatalf("%d stand, %d unagreed, %d queries", x.Standing(), x.Unagreed(), out.count(isup.CQM))
+	}
+	for i, m := range out.all { // no circuit that carries a kept call is reset, and the caller who waited is told once
+		last := m.CIC + uint16(m.Range)
+		for _, cic := range cics[:2] {
+			if (m.Type == isup.GRS || m.Type == isup.RSC) && m.CIC <= cic && cic <= last {
+				t.Fatalf("circuit %d, which carries a call, is reset by %+v", cic, m)
+			}
+		}
+		if m.Type == isup.REL && (out.to[i].Side != Line || m.CIC != 3 || m.Cause != isup.TemporaryFailure) {
+			t.Fatalf("%+v to %+v", m, out.to[i])
+		}
+	}
+	if out.count(isup.REL) != 1 || len(next.calls) != 0 {
+		t.Fatalf("%d callers were told; %v is kept anew by the exchange", out.count(isup.REL), next.calls)
+	}
+	now += 30000
+	// The far end carries the first, and knows nothing of the second.
+	for n, state := range []byte{isup.IncomingBusy, isup.CircuitIdle} {
+		x.Receive(now, Hop{Side: Ahead}, isup.Message{CIC: cics[n], Type: isup.CQR, States: string([]byte{state})}, 0)
+	}
+	if x.Standing() != 1 || x.Unagreed() != 0 {
+		t.Fatalf("%d stand, %d unagreed", x.Standing(), x.Unagreed())
+	}
+	if state, _, _ := x.groups[0].g.State(cics[1]); state != circuit.Idle {
+		t.Fatalf("the other's circuit is in state %d", state)
+	}
+	last := out.all[len(out.all)-1]
+	if last.Type != isup.REL || last.CIC != 2 || out.to[len(out.to)-1].Side != Line { // its caller hears of it
+		t.Fatalf("%+v", last)
+	}
+	x.Receive(now+10, Hop{Side: Line, Point: Lines}, isup.Message{CIC: 1, Type: isup.REL, Cause: isup.NormalClearing}, 0)
+	if last = out.all[len(out.all)-1]; x.Standing() != 0 || last.Type != isup.REL || last.CIC != cics[0] { // and the first ends as any call
+		t.Fatalf("%d stand; %+v", x.Standing(), last)
+	}
+}
+
+func TestAnotherLifeOfASwitchKeepsNothing(t *testing.T) {
+	kept, now, _ := before(t)
+	if x, out, _ := again(t, now, kept, "1", "2"); x.Standing() != 0 || out.count(isup.CQM) > 0 || out.count(isup.REL) != 3 {
+		t.Fatalf("the far switch is another: %d stand, %d queries, %d callers told", x.Standing(), out.count(isup.CQM), out.count(isup.REL))
+	}
+	kept, now, _ = before(t)
+	x, out, _ := again(t, now, kept, "2", "1")
+	toLines := 0
+	for i, m := range out.all {
+		if m.Type == isup.REL && out.to[i].Side == Line {
+			toLines++
+		}
+	}
+	if x.Standing() != 0 || toLines > 0 {
+		t.Fatalf("the own switch is another: %d stand, %d lines were told", x.Standing(), toLines)
+	}
+}
+
+func TestNeighbourIsToldTheStatesOfCircuits(t *testing.T) {
+	x, out, now := lone(62)
+	x.dial(now, 1)
+	got := &sentBy{}
+	x.out = got
+	x.Receive(now+10, Hop{Side: Behind}, isup.Message{CIC: 1, Type: isup.CQM, Range: 30}, 0)
+	if len(got.all) != 1 || got.all[0].Type != isup.CQR || got.to[0].Side != Behind || len(got.all[0].States) != 31 {
+		t.Fatalf("%+v", got.all)
+	}
+	for i, s := range []byte(got.all[0].States) {
+		want := byte(isup.CircuitIdle)
+		if uint16(i+1) == out.m.CIC {
+			want = isup.OutgoingBusy
+		}
+		if s != want {
+			t.Fatalf("circuit %d is told as %02x", i+1, s)
+		}
+	}
+}
