--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -199,6 +199,7 @@
 		}
 	}
 	err := s.loop(ctx)
+	s.agent.report()
 	if err == nil {
 		time.Sleep(lastWords)
 	}
--- a/internal/control/gateways.go
+++ b/internal/control/gateways.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// report writes what came of gateways and their calls in this life.
+func (n *agent) report() {
+	if n == nil {
+		return
+	}
+	unexpected := 0
+	for _, row := range n.a.Unexpected {
+		for _, times := range row {
+			unexpected += times
+		}
+	}
+	c := n.a.Counts
+	n.s.log.Info("gateways in this life", "dialled", c.Dialled, "stood", c.Stood, "refused", c.Refused, "failed", c.Failed, "rung", c.Rung, "turned away", c.TurnedAway,
+		"joined", c.Joined, "lost", c.Lost, "leftovers", c.Leftovers, "contradictions", c.Contradictions, "stale", c.Stale, "cut short", c.Incomplete,
+		"unexpected", unexpected, "faults", c.Faults, "datagrams", c.Sent)
+}
+
 // telling counts what calls still wait for at gateways.
 func (n *agent) telling(now policy.Tenths) int {
 	if n == nil {
