A set-up overtaken by the end of the one that crossed it is passed over; ledger benchmarks

Both ends seized a circuit, ours was released and cleared before their set-up came out of its switch's queue; they had yielded and sent it elsewhere, we took it as well. For 200 ms after such a clearing what comes on the circuit is held to be old; they let it settle for 300.

--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -39,6 +39,12 @@
 	// settle keeps this exchange from seizing a circuit that the other end's release just cleared: the release's
 	// answer takes another way than the next set-up, and would be overtaken by it.
 	settle = policy.Tenths(3000)
+
+	// crossing is how long after the answer to a release of a set-up that the far end never confirmed a set-up of theirs is held
+	// to have been sent before they had ours: set-ups wait in a switch, and answers to releases pass them. The far end has yielded
+	// that call and sent it on other circuits; taken as well, it was set up twice over. What they seize after our release comes
+	// later, as they let the circuit settle.
+	crossing = settle * 2 / 3
 )
 
 // None is the call number that no call has.
@@ -54,6 +60,7 @@
 	lead    int // index of the circuit whose code the call's set-up named
 	idleAt  policy.Tenths
 	settled policy.Tenths // not seized by us before
+	crossed policy.Tenths // a set-up of theirs that comes before was sent before they had ours
 	dueAt   policy.Tenths // next repeat (Releasing, Resetting)
 	repeats int
 }
@@ -209,6 +216,9 @@
 	for _, i := range taken {
 		switch c := &g.circuits[i]; c.state {
 		case Idle:
+			if now < c.crossed {
+				return NotIdle, nil, nil
+			}
 		case Seized:
 			if g.keeps(i, taken) {
 				return Ours, nil, nil
@@ -408,6 +418,14 @@
 			}
 		}
 	}
+	if i, ok := g.index(cic); ok && !settling && g.circuits[i].state == Releasing && !g.circuits[i].heard {
+		from, to := g.multiplex(i)
+		for j := from; j < to; j++ {
+			if c := &g.circuits[j]; c.lead == g.circuits[i].lead && c.call == g.circuits[i].call {
+				c.crossed = now + crossing
+			}
+		}
+	}
 	g.held(now, cic, Idle, Seized, Outgoing, Incoming, Releasing, Resetting)
 }
 
--- a/internal/circuit/circuit_test.go
+++ b/internal/circuit/circuit_test.go
@@ -258,3 +258,21 @@
 		t.Fatalf("verdict %d, gone %v, %d free", v, gone, g.Free())
 	}
 }
+
+// Their set-up waits in our switch, ours crosses it and is released at once: the answer to the release comes before their set-up,
+// which they have yielded and sent again elsewhere by then. Taken, that call was set up twice over.
+func TestSetUpOvertakenByTheEndOfOursIsPassedOver(t *testing.T) {
+	g := New(1, 2, 31)
+	ours, ok := g.Seize(1000, 7, 1)
+	if !ok {
+		t.Fatal("not seized")
+	}
+	g.Release(1100, ours.CIC)
+	g.Cleared(1500, ours.CIC, false)
+	if v, _, _ := g.Arrived(1600, 8, ours, 1); v != NotIdle {
+		t.Fatalf("verdict %d on what crossed", v)
+	}
+	if v, _, _ := g.Arrived(1500+crossing, 9, ours, 1); v != Taken {
+		t.Fatalf("verdict %d on the next", v)
+	}
+}
--- /dev/null
+++ b/internal/control/keep_bench_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"indigodrift/internal/ledger"
+	"indigodrift/internal/recovery"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// slowDisk takes two seconds a sync.
+type slowDisk struct{ ledger.OnDisk }
+
+type slowFile struct{ ledger.File }
+
+func (f slowFile) Sync() error { time.Sleep(2 * time.Second); return f.File.Sync() }
+func (d slowDisk) Create(name string) (ledger.File, error) {
+	f, err := d.OnDisk.Create(name)
+	return slowFile{f}, err
+}
+
+// BenchmarkAnswerKept times calls in turns through three networks: without a ledger, with one, and with one on a disk that takes two
+// seconds a sync.
+func BenchmarkAnswerKept(b *testing.B) {
+	var all []*asker
+	var keeps []*Station
+	for _, kind := range []string{"none", "kept", "slow"} {
+		dir := b.TempDir()
+		at, stations := network(b, 2, func(i int, s *Site) {
+			if kind != "none" {
+				s.Ledger = filepath.Join(dir, string(rune('a'+i)))
+			}
+			if kind == "slow" {
+				s.Disk = slowDisk{}
+			}
+		})
+		a := newAsker(b, at, 0)
+		defer a.conn.Close()
+		all, keeps = append(all, a), append(keeps, stations[0])
+	}
+	took := []*hdrhistogram.Histogram{hdrhistogram.New(1, 1e10, 3), hdrhistogram.New(1, 1e10, 3), hdrhistogram.New(1, 1e10, 3)}
+	for b.Loop() {
+		for i, a := range all {
+			d, ok := a.call(b, 1)
+			if !ok {
+				b.Fatal("a call did not stand")
+			}
+			took[i].RecordValue(d.Nanoseconds())
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+	for i, name := range []string{"", "kept", "slow-disk"} {
+		if i > 0 {
+			b.ReportMetric(float64(took[i].ValueAtQuantile(50))/float64(took[0].ValueAtQuantile(50)), name+"-median-over-none")
+			b.ReportMetric(float64(took[i].ValueAtQuantile(99))/float64(took[0].ValueAtQuantile(99)), name+"-99th-over-none")
+		}
+	}
+	b.ReportMetric(float64(keeps[1].ledger.Wrote())/float64(b.N), "octets-a-call")
+}
+
+// BenchmarkTakeUp times reading a ledger, judging its calls and having the exchange take them up.
+func BenchmarkTakeUp(b *testing.B) {
+	for _, calls := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint(calls), func(b *testing.B) {
+			name := filepath.Join(b.TempDir(), "ledger")
+			l, _, err := ledger.Open(name, 7, ledger.OnDisk{}, func(string) {})
+			if err != nil {
+				b.Fatal(err)
+			}
+			go l.Run()
+			now := time.Now().UnixNano() / 100_000
+			for i := range calls {
+				l.Put(recovery.Kept{ID: uint32(i + 1), Phase: recovery.Standing, In: recovery.Place{Point: 0x2000 + uint16(i>>12), CIC: uint16(i & 4095)},
+					Out: recovery.Place{Trunk: true, Number: i / 3900, CIC: uint16(i%3900/31*32 + i%31 + 1)}, Since: now})
+			}
+			l.Close()
+			sites := recovery.Sites{Digest: 7, Circuits: map[int]int{}, Lines: func(uint16) bool { return true }}
+			for n := range 30 {
+				sites.Circuits[n] = 3968
+			}
+			for b.Loop() {
+				_, c, err := ledger.Open(name, 7, ledger.OnDisk{}, func(string) {})
+				if err != nil || len(c.Calls) != calls {
+					b.Fatal(err, len(c.Calls))
+				}
+				kept := make([]recovery.Kept, 0, calls)
+				for _, k := range c.Calls {
+					kept = append(kept, k)
+				}
+				stand := 0
+				for _, v := range recovery.Judge(now+20000, c.Life, kept, sites) {
+					if v.Fate == recovery.StandsOn {
+						stand++
+					}
+				}
+				if stand != calls {
+					b.Fatalf("%d of %d stand on", stand, calls)
+				}
+			}
+		})
+	}
+}
