--- a/examples/days/mgcp-large.hcl
+++ b/examples/days/mgcp-large.hcl
@@ -1,5 +1,5 @@
 about            = "The day of mgcp.hcl with a hundred thousand calls from phones"
-length           = "200s"
+length           = "235s"
 exchanges        = 4
 calls_per_second = 10
 load             = 0.8
