A release on another circuit of a multirate call is not that call's

Messages name a multirate call by its lowest circuit alone; the switch forgets a call whose circuit is seized anew.

--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -57,6 +57,14 @@
 	}
 	g.changed = true
 	k := x.calls[id]
+	if k != nil && !names(k, from.Peer, m.CIC) && (m.Type == isup.ANM || m.Type == isup.REL || m.Type == isup.ACM || m.Type == isup.RLC) {
+		// A multirate call is named by its lowest circuit alone. A release on another of its circuits is about a call that is long
+		// over here; taken for this one's, it was tried again with its try still out.
+		if m.Type == isup.REL {
+			x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: isup.RLC})
+		}
+		return
+	}
 	reply := func(t isup.Type) { x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: t, Range: m.Range}) }
 	switch m.Type {
 	case isup.IAM:
@@ -128,6 +136,16 @@
 	}
 }
 
+// names tells whether a circuit of the group to a neighbour is the one that a call's messages name.
+func names(k *call, peer int, cic uint16) bool {
+	for _, l := range []leg{k.in, k.out} {
+		if l.hop.Side != Line && l.hop.Peer == peer && l.bundle.CIC == cic {
+			return true
+		}
+	}
+	return false
+}
+
 // arrived takes a neighbour's set-up: which of two that seized the same circuit stands, then the call itself.
 func (x *Exchange) arrived(from Hop, m isup.Message, age policy.Tenths) {
 	g := &x.groups[from.Peer]
--- a/internal/exchange/restore_test.go
+++ b/internal/exchange/restore_test.go
@@ -166,3 +166,27 @@
 		}
 	}
 }
+
+// A release on a circuit that is only part of a multirate call is not that call's.
+func TestReleaseOnAnotherCircuitOfAWideCallIsNotItsOwn(t *testing.T) {
+	x, out, now := lone(62)
+	x.Receive(now, Hop{Side: Line, Point: Lines}, isup.Message{CIC: 1, Type: isup.IAM, Width: 3, Digits: "001000001", Ref: isup.Reference{Point: 1, Identity: 1},
+		Says: isup.Says{Has: isup.PartLeft | isup.PartCall, Left: 30000}}, 0)
+	lead, other := out.m.CIC, uint16(0)
+	for s := range uint16(31) {
+		if out.m.Slots&(1<<s) != 0 && s+1 != lead {
+			other = s + 1
+		}
+	}
+	if out.m.Type != isup.IAM || other == 0 {
+		t.Fatalf("%+v", out.m)
+	}
+	x.Receive(now+10, Hop{Side: Ahead}, isup.Message{CIC: other, Type: isup.REL, Cause: isup.NetworkOutOfOrder}, 0)
+	if state, _, _ := x.groups[0].g.State(lead); state != circuit.Seized {
+		t.Fatalf("the call's circuit is in state %d", state)
+	}
+	x.Receive(now+20, Hop{Side: Ahead}, isup.Message{CIC: lead, Type: isup.ANM}, 0)
+	if x.Standing() != 1 {
+		t.Fatal("the call does not stand")
+	}
+}
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -441,6 +441,11 @@
 			if s.busy[p.point] == nil {
 				s.busy[p.point] = map[uint16]uint32{}
 			}
+			for lead, held := range s.busy[p.point] { // a call that a restarted controller dropped without a word is over by now
+				if lead/32 == m.CIC/32 && held&bits != 0 {
+					delete(s.busy[p.point], lead)
+				}
+			}
 			s.busy[p.point][m.CIC] = bits
 			s.addSetUp(p.point, m, arrived)
 			return
