Set-ups that were yielded are known by word, not by time; resets of wide calls are judged

The exchange that yields says so as that call ends (REL, RLC); what comes on its circuits within two seconds is passed over, and the yielding end leaves them alone for longer. The audit closed a wide call's try only by a reset of its lowest circuit.

--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -133,6 +133,11 @@
 		}
 		for cic := e.CIC; cic <= e.CIC+uint16(e.Value); cic++ {
 			j.close(Event{At: e.At, Site: at, Peer: by, CIC: cic}, true)
+			for k, of := range j.tries { // a multirate call ends with any of its circuits
+				if s := j.sends[of]; k.at == at && k.by == by && k.cic/32 == cic/32 && s != nil && s.open[k]&(1<<(cic%32-1)) != 0 {
+					j.close(Event{At: e.At, Site: at, Peer: by, CIC: k.cic}, true)
+				}
+			}
 		}
 	case Broke:
 		for k := range j.tries {
--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -40,11 +40,11 @@
 	// answer takes another way than the next set-up, and would be overtaken by it.
 	settle = policy.Tenths(3000)
 
-	// crossing is how long after the answer to a release of a set-up that the far end never confirmed a set-up of theirs is held
-	// to have been sent before they had ours: set-ups wait in a switch, and answers to releases pass them. The far end has yielded
-	// that call and sent it on other circuits; taken as well, it was set up twice over. What they seize after our release comes
-	// later, as they let the circuit settle.
-	crossing = settle * 2 / 3
+	// A call of ours that yields its circuits to one of theirs may lie in a queue of their switch still, and may come out of it after
+	// their call has ended: taken then, it was set up twice over, as we sent it on other circuits. So the end of their call tells them
+	// of it (Yielded); what comes on its circuits within crossing is passed over there, and we do not seize them for yieldSettle.
+	crossing    = policy.Tenths(20000)
+	yieldSettle = policy.Tenths(25000)
 )
 
 // None is the call number that no call has.
@@ -61,6 +61,7 @@
 	idleAt  policy.Tenths
 	settled policy.Tenths // not seized by us before
 	crossed policy.Tenths // a set-up of theirs that comes before was sent before they had ours
+	yielded bool          // its call of theirs took it from one of ours
 	dueAt   policy.Tenths // next repeat (Releasing, Resetting)
 	repeats int
 }
@@ -126,6 +127,9 @@
 	}
 	if s == Idle {
 		call, c.idleAt = None, now
+		if c.yielded {
+			c.yielded, c.settled = false, now+yieldSettle
+		}
 	}
 	c.heard = s == Releasing && (c.state == Outgoing || c.state == Incoming)
 	c.theirs = s == Releasing && c.state == Incoming
@@ -232,12 +236,14 @@
 			return NotIdle, nil, nil
 		}
 	}
+	var given []int
 	for _, i := range taken {
 		if c := &g.circuits[i]; c.state == Incoming {
 			gone = append(gone, c.call)
 			g.held(now, code(i), Idle, Incoming)
 		}
 		if g.circuits[i].state == Seized {
+			given = append(given, i)
 			lost := g.circuits[i].call
 			yielded = append(yielded, lost)
 			from, to := g.multiplex(i)
@@ -254,9 +260,37 @@
 		g.held(now, code(i), Idle, Releasing)
 		g.set(now, i, Incoming, call, taken[0])
 	}
+	for _, i := range given {
+		g.circuits[i].yielded = true
+	}
 	return Taken, yielded, gone
 }
 
+// Yielded tells whether the call on a circuit took it from one of ours: its end must say so. Crossed takes that word, from the end
+// of a call of ours.
+func (g *Group) Yielded(cic uint16) bool {
+	found := false
+	g.bundle(cic, func(c *circuit) { found = found || c.yielded })
+	return found
+}
+func (g *Group) Crossed(now policy.Tenths, cic uint16) {
+	g.bundle(cic, func(c *circuit) { c.crossed = now + crossing })
+}
+
+// bundle does something with each circuit that the call on a circuit holds.
+func (g *Group) bundle(cic uint16, do func(c *circuit)) {
+	i, ok := g.index(cic)
+	if !ok {
+		return
+	}
+	from, to := g.multiplex(i)
+	for j := from; j < to; j++ {
+		if c := &g.circuits[j]; j == i || c.call == g.circuits[i].call && c.lead == g.circuits[i].lead && c.state == g.circuits[i].state && c.state != Idle {
+			do(c)
+		}
+	}
+}
+
 // keeps settles a dual seizure of circuit i, that a call of ours holds and their call asks for with others: the call
 // with more circuits stands, as it is the harder to place again; among equals, the exchange that controls the lowest
 // circuit both ask for. Both ends see the same two set-ups and so agree.
@@ -418,14 +452,6 @@
 			}
 		}
 	}
-	if i, ok := g.index(cic); ok && !settling && g.circuits[i].state == Releasing && !g.circuits[i].heard {
-		from, to := g.multiplex(i)
-		for j := from; j < to; j++ {
-			if c := &g.circuits[j]; c.lead == g.circuits[i].lead && c.call == g.circuits[i].call {
-				c.crossed = now + crossing
-			}
-		}
-	}
 	g.held(now, cic, Idle, Seized, Outgoing, Incoming, Releasing, Resetting)
 }
 
--- a/internal/circuit/circuit_test.go
+++ b/internal/circuit/circuit_test.go
@@ -259,20 +259,37 @@
 	}
 }
 
-// Their set-up waits in our switch, ours crosses it and is released at once: the answer to the release comes before their set-up,
-// which they have yielded and sent again elsewhere by then. Taken, that call was set up twice over.
-func TestSetUpOvertakenByTheEndOfOursIsPassedOver(t *testing.T) {
-	g := New(1, 2, 31)
-	ours, ok := g.Seize(1000, 7, 1)
-	if !ok {
-		t.Fatal("not seized")
+// Both ends seize a circuit; the one that yields says so as the other's call ends, and the set-up that lay in the other's switch is
+// passed over when it comes out, where a later one is taken.
+func TestSetUpThatWasYieldedIsPassedOverWhenItComesLate(t *testing.T) {
+	keeper, loser := New(2, 1, 31), New(1, 2, 31) // both may come to hold circuit 2; the higher point code keeps it
+	const cic = 2
+	for _, g := range []*Group{keeper, loser} {
+		for i := range g.circuits {
+			g.Block(code(i), code(i) != cic)
+		}
+		if b, ok := g.Seize(1000, 7, 1); !ok || b.CIC != cic {
+			t.Fatal(b, ok)
+		}
+	}
+	v, lost, _ := loser.Arrived(1100, 8, Bundle{CIC: cic}, 1)
+	if v != Taken || len(lost) != 1 || !loser.Yielded(cic) || keeper.Yielded(cic) {
+		t.Fatal(v, lost)
+	}
+	loser.Release(1200, cic) // it refuses the call
+	keeper.Crossed(1300, cic)
+	keeper.Cleared(1300, cic, true)
+	loser.Cleared(1400, cic, false)
+	if v, _, _ := keeper.Arrived(9000, 9, Bundle{CIC: cic}, 1); v != NotIdle {
+		t.Fatalf("verdict %d on what was yielded", v)
+	}
+	if _, ok := loser.Seize(1300+crossing, 10, 1); ok {
+		t.Fatal("seized while the other end passes over what comes on it")
 	}
-	g.Release(1100, ours.CIC)
-	g.Cleared(1500, ours.CIC, false)
-	if v, _, _ := g.Arrived(1600, 8, ours, 1); v != NotIdle {
-		t.Fatalf("verdict %d on what crossed", v)
+	if _, ok := loser.Seize(1400+yieldSettle, 10, 1); !ok {
+		t.Fatal("never seized again")
 	}
-	if v, _, _ := g.Arrived(1500+crossing, 9, ours, 1); v != Taken {
+	if v, _, _ := keeper.Arrived(1400+yieldSettle, 10, Bundle{CIC: cic}, 1); v != Taken {
 		t.Fatalf("verdict %d on the next", v)
 	}
 }
--- a/internal/day/virtual_test.go
+++ b/internal/day/virtual_test.go
@@ -338,3 +338,30 @@
 		t.Fatalf("%d of %d calls that stood were cut", rep.Cuts, stood)
 	}
 }
+
+// Every switch stands still for three seconds, and after 1.4 of them, with a hundred and more set-ups from phones in flight, all controllers
+// are killed. What they left at the gateways is audited away: a minute later no connection is there that no call has.
+func TestControllersKilledWithAHundredSetUpsInFlight(t *testing.T) {
+	rep := virtual(t, "mgcp.hcl", func(s *Script) {
+		s.Length, s.Gateways.Rate, s.Gateways.Near = 80*time.Second, 120, 0
+		s.Troubles = []Trouble{{Kind: "hung", Start: 4 * time.Second, Length: 3 * time.Second, Part: 1}, {Kind: "controllers_kill", Start: 5400 * time.Millisecond, Part: 1, Size: 0.5}}
+	})
+	rulesHold(t, rep, 0.5)
+	if p := rep.Phones; p.Failed+p.Left < 100 || p.Stood < p.Calls/2 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+// A neighbour falls silent while calls from phones are being set up to it.
+func TestNeighboursSilentDuringSetUpsFromPhones(t *testing.T) {
+	for _, kind := range []string{"hung", "half_open"} {
+		rep := virtual(t, "mgcp.hcl", func(s *Script) {
+			s.Length, s.Gateways.Near = 25*time.Second, 0
+			s.Troubles = []Trouble{{Kind: kind, Start: 4 * time.Second, Length: 8 * time.Second, Part: 0.5}}
+		})
+		rulesHold(t, rep, 0.2)
+		if p := rep.Phones; p.Calls < 400 || p.Stood < p.Calls/4 {
+			t.Fatalf("%s: %+v", kind, p)
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -471,12 +471,21 @@
 func (x *Exchange) release(l leg, m isup.Message) {
 	m.CIC = l.bundle.CIC
 	if l.hop.Side != Line {
+		x.sayYielded(l.hop.Peer, &m)
 		x.groups[l.hop.Peer].g.Release(x.now, m.CIC)
 		x.groups[l.hop.Peer].changed = true
 	}
 	x.out.Transmit(l.hop, m)
 }
 
+// sayYielded has the end of a call tell that it took its circuits from one of ours.
+func (x *Exchange) sayYielded(peer int, m *isup.Message) {
+	if x.groups[peer].g.Yielded(m.CIC) {
+		m.Says.Has |= isup.PartCall
+		m.Says.Marks |= isup.Yielded
+	}
+}
+
 // dropTry releases what the present try holds, if any.
 func (x *Exchange) dropTry(k *call, cause isup.Cause) {
 	if k.state == Trying || k.state == Answering || k.state == Standing {
@@ -502,8 +511,11 @@
 			if r.Type == isup.REL && r.Theirs {
 				to.Side = Behind
 			}
-			x.out.Transmit(to, isup.Message{CIC: r.CIC, Type: r.Type, Range: r.Range,
-				Cause: isup.NormalUnspecified, Location: isup.LocalNetwork})
+			m := isup.Message{CIC: r.CIC, Type: r.Type, Range: r.Range, Cause: isup.NormalUnspecified, Location: isup.LocalNetwork}
+			if r.Type == isup.REL {
+				x.sayYielded(i, &m)
+			}
+			x.out.Transmit(to, m)
 			g.changed = true
 		}
 	}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -65,7 +65,16 @@
 		}
 		return
 	}
-	reply := func(t isup.Type) { x.out.Transmit(from, isup.Message{CIC: m.CIC, Type: t, Range: m.Range}) }
+	reply := func(t isup.Type) {
+		r := isup.Message{CIC: m.CIC, Type: t, Range: m.Range}
+		if t == isup.RLC {
+			x.sayYielded(from.Peer, &r)
+		}
+		x.out.Transmit(from, r)
+	}
+	if m.Says.Marks&isup.Yielded != 0 && (state == circuit.Seized || state == circuit.Outgoing || state == circuit.Releasing) {
+		g.g.Crossed(x.now, m.CIC)
+	}
 	switch m.Type {
 	case isup.IAM:
 		if from.Side != Behind {
--- a/internal/isup/says.go
+++ b/internal/isup/says.go
@@ -35,6 +35,7 @@
 	Redial    = 1 // the caller was turned away before
 	CutBefore = 2 // it stood, was cut and comes again
 	Donor     = 4 // portability could not be asked in time: it goes by the donor's route
+	Yielded   = 8 // REL, RLC: the call that ends took a circuit from one of the sender's, which may still lie unread
 )
 
 const (
