Connections left by a killed controller are judged: it has its time anew, no longer

Cause: with the clearing of connections taken out on purpose no test failed, as any kill within a minute before excused a connection for ever.

--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -78,6 +78,10 @@
 	p := &phones{j: j, calls: map[isup.Reference]*phoneCall{}, state: map[phoneKey]*phoneState{}, down: map[[2]int][]interval{}}
 	last := int64(0)
 	for _, e := range events {
+		if e.Kind == End {
+			last = e.At
+			break
+		}
 		if !p.take(e) {
 			j.take(e)
 		}
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -36,6 +36,7 @@
 	Stopped Kind = 'p' // controller Site is stopped, Went: goes on, Killed: is gone, or its own link is
 	Went    Kind = 'g'
 	Killed  Kind = 'q'
+	End     Kind = 'E' // the day is over: what is torn down after it is not judged
 
 	// Phones at gateways: Site is the exchange, Peer the gateway, CIC the endpoint, Ref the call that its user makes.
 	Dialled     Kind = 'D' // the last digit: Value is how long the caller waits, in microseconds
--- a/internal/audit/phones.go
+++ b/internal/audit/phones.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"indigodrift/internal/isup"
 )
@@ -126,13 +127,28 @@
 
 // outlived judges a connection that ends, or is there at the end.
 func (p *phones) outlived(k phoneKey, s *phoneState, number uint32, at int64) {
-	since := max(s.onAt, s.conns[number])
-	if s.off || at-since < Outlives || p.excused(k, since-Outlives, at) {
+	since := max(s.onAt, s.conns[number], p.goneUntil(k, at))
+	if s.off || at-since < Outlives {
 		return
 	}
 	p.j.breach(ruleOutlives, at, "connection %d at phone %v is there %d s after its call was over", number, k, (at-since)/1_000_000)
 }
 
+// goneUntil is when a gateway or its controller was gone last, up to an instant: from then on it has its time anew.
+func (p *phones) goneUntil(k phoneKey, at int64) (until int64) {
+	for _, s := range slices.Concat(p.down[[2]int{k.site, k.gateway}], p.j.stopped[k.site]) {
+		if s.from <= at {
+			until = max(until, min(s.to, at))
+		}
+	}
+	for _, t := range p.j.killed[k.site] {
+		if t <= at {
+			until = max(until, t)
+		}
+	}
+	return until
+}
+
 // excused tells whether the gateway or its controller was gone in some part of a span.
 func (p *phones) excused(k phoneKey, from, to int64) bool {
 	for _, s := range p.down[[2]int{k.site, k.gateway}] {
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -231,6 +231,7 @@
 	case <-time.After(r.script.Length + tail):
 	case <-r.ctx.Done():
 	}
+	r.log.Add(audit.Event{Kind: audit.End})
 	close(stop)
 	<-done
 	return context.Cause(r.ctx)
