--- /dev/null
+++ b/internal/ledger/format_test.go
@@ -0,0 +1,41 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"testing"
+
+	"indigodrift/internal/isup"
+	"indigodrift/internal/recovery"
+)
+
+// A file of format 1, whose calls had no slots, is read as it was meant; what goes on from it is written in the format of now.
+func TestFileOfTheFormatBeforeIsRead(t *testing.T) {
+	frame := func(b []byte, body ...byte) []byte {
+		b = binary.BigEndian.AppendUint16(b, uint16(len(body)))
+		b = binary.BigEndian.AppendUint32(b, crc32.Checksum(body, table))
+		return append(b, body...)
+	}
+	old := append([]byte(magic), 1)
+	old = frame(old, append([]byte{'H'}, 0, 0, 0, 0, 0, 0, 0, 7)...)
+	call := []byte{'C', 0, 0, 0, 9, 1<<4 | 4}                           // call 9, stands, goes out by trunk
+	call = append(call, 0, 0, 0x20, 0, 0, 5)                            // from line 2000/5
+	call = append(call, 0, 3, 0, 0, 0, 33)                              // to exchange 3, circuit 33
+	call = append(call, 0, 1, 0, 0, 0, 77)                              // reference
+	call = append(call, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2, 0) // since, until
+	old = frame(old, call...)
+	c := Read(old)
+	want := recovery.Kept{ID: 9, Phase: recovery.Standing, In: recovery.Place{Point: 0x2000, CIC: 5}, Out: recovery.Place{Trunk: true, Number: 3, CIC: 33},
+		Ref: isup.Reference{Point: 1, Identity: 77}, Since: 256, Until: 512}
+	if c.Why != "" || c.Version != 1 || c.Life.Site != 7 || c.Calls[9] != want {
+		t.Fatalf("%+v", c)
+	}
+	again := Read(appendFrame(header(), Record{Kind: Call, Call: c.Calls[9]}))
+	if again.Version != version || again.Calls[9] != want {
+		t.Fatalf("%+v", again)
+	}
+	old[len(magic)] = version // the same octets under the new format are no calls of it
+	if c := Read(old); c.Why == "" || len(c.Calls) != 0 {
+		t.Fatalf("%+v", c)
+	}
+}
