What nothing read or wrote is gone: a mark never set, a call id never told

That lost records are not marked in the file stands among what is missing. Measured: all tests pass as before; no assertion changed.

--- a/internal/callagent/agent.go
+++ b/internal/callagent/agent.go
@@ -101,7 +101,6 @@
 	told    string // the remote one that the gateway has
 	sending string // and the one on its way there
 	digits  string
-	began   policy.Tenths
 	leaves  policy.Tenths
 	hop     place
 }
--- a/internal/callagent/callagent_test.go
+++ b/internal/callagent/callagent_test.go
@@ -293,6 +293,9 @@
 	r.a.Settle(r.now)
 }
 
+// there tells whether the gateway holds a connection, or may.
+func (c Connection) there() bool { return c == Made || c == Changing || c == Deleting }
+
 // Users, the exchange and the network do anything in any order. After each step every line is whole; once all is quiet and well
 // again every phone is idle, no connection is left and every call has ended once.
 func TestLinesComeToRestWhateverHappened(t *testing.T) {
--- a/internal/callagent/connection.go
+++ b/internal/callagent/connection.go
@@ -43,6 +43,3 @@
 	}
 	l.conn = to
 }
-
-// there tells whether the gateway holds it, or may.
-func (c Connection) there() bool { return c == Made || c == Changing || c == Deleting }
--- a/internal/callagent/door.go
+++ b/internal/callagent/door.go
@@ -326,7 +326,7 @@
 		return
 	}
 	g.out, g.step = 0, notJoining
-	g.presence.Joined(a.now)
+	g.presence.Joined()
 	a.Counts.Joined++
 	all := mgcp.KindOf(r.Code) == mgcp.Success // else one by one: a single phone that is off hook refuses it for all
 	for n := range g.Endpoints {
--- a/internal/callagent/line.go
+++ b/internal/callagent/line.go
@@ -148,12 +148,11 @@
 // open takes a dialled number: the caller's time runs from here.
 func (a *Agent) open(i int, in input) {
 	l := &a.lines[i]
-	began := a.now - in.age
-	l.by = began + a.site.Abandon[a.gws[l.gw].Bearer]
-	left := began + a.site.Abandon[a.gws[l.gw].Bearer] - a.now
+	l.by = a.now - in.age + a.site.Abandon[a.gws[l.gw].Bearer]
+	left := l.by - a.now
 	left -= gateways.AnswerRoom(a.gws[l.gw].sender.Wait(), left, a.gws[l.gw].sender.Loss())
 	a.nextCall++
-	l.talk = &talk{call: a.nextCall, digits: in.digits, began: began, leaves: a.now + left, hop: place{a.pointOf(i), a.cicOf(i)}}
+	l.talk = &talk{call: a.nextCall, digits: in.digits, leaves: a.now + left, hop: place{a.pointOf(i), a.cicOf(i)}}
 	a.Counts.Dialled++
 	a.wish(i, HearHang, gateways.Silence, Receive, l.talk.leaves)
 }
--- a/internal/callagent/wish.go
+++ b/internal/callagent/wish.go
@@ -380,10 +380,10 @@
 		l.has.hear = HearNothing
 	}
 	list, _ := r.Param("I")
-	var held []gateways.Held
+	var held []string
 	for _, id := range strings.Split(list, ",") {
 		if id = strings.TrimSpace(id); id != "" {
-			held = append(held, gateways.Held{ID: id})
+			held = append(held, id)
 		}
 	}
 	live := ""
@@ -391,9 +391,7 @@
 		live = l.held.conn
 	}
 	left, gone := gateways.Leftovers(held, live)
-	for _, h := range left {
-		l.left = append(l.left, h.ID)
-	}
+	l.left = append(l.left, left...)
 	if gone {
 		was := l.held
 		a.connect(i, None)
--- a/internal/control/keep.go
+++ b/internal/control/keep.go
@@ -71,6 +71,6 @@
 	l.Knows(-1, c.Life.Own)
 	standing := s.x.Restore(now, c.Life, verdicts)
 	s.log.Info("calls of the life before", "stand on", standing, "answered failed", count[recovery.AnswerFail], "cut", count[recovery.Cut],
-		"forgotten", count[recovery.Forget], "dead for", time.Duration(s.clock.wall(now)-c.Life.Alive)*100*time.Microsecond, "marked", c.Life.Marked)
+		"forgotten", count[recovery.Forget], "dead for", time.Duration(s.clock.wall(now)-c.Life.Alive)*100*time.Microsecond)
 	return nil
 }
--- a/internal/gateways/decisions_test.go
+++ b/internal/gateways/decisions_test.go
@@ -52,20 +52,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ids := rapid.SliceOfDistinct(rapid.StringMatching(`[0-9A-F]{1,3}`), rapid.ID).Draw(t, "held")
 		live := rapid.SampledFrom(append([]string{"", "no such"}, ids...)).Draw(t, "live")
-		var held []Held
 		var want []string
 		for _, id := range ids {
-			held = append(held, Held{ID: id})
 			if id != live {
 				want = append(want, id)
 			}
 		}
 		slices.Sort(want)
-		left, gone := Leftovers(held, live)
-		var got []string
-		for _, h := range left {
-			got = append(got, h.ID)
-		}
+		got, gone := Leftovers(ids, live)
 		if !slices.Equal(got, want) || gone != (live != "" && !slices.Contains(ids, live)) {
 			t.Fatalf("left %v gone %v of %v, live %q", got, gone, ids, live)
 		}
@@ -116,7 +110,7 @@
 				p.Join(now)
 				want = Joining
 			case 1:
-				if p.Joined(now); want == Joining || want == Leaving {
+				if p.Joined(); want == Joining || want == Leaving {
 					want = Serving
 				}
 			case 2:
--- a/internal/gateways/presence.go
+++ b/internal/gateways/presence.go
@@ -58,8 +58,8 @@
 func (p *Presence) Alive(since policy.Tenths) bool { return p.heardAt > since }
 
 // Join tells that it is being brought into service, Joined that it is.
-func (p *Presence) Join(now policy.Tenths) bool   { p.Heard(now); return p.become(Joining) }
-func (p *Presence) Joined(now policy.Tenths) bool { return p.become(Serving) }
+func (p *Presence) Join(now policy.Tenths) bool { p.Heard(now); return p.become(Joining) }
+func (p *Presence) Joined() bool                { return p.become(Serving) }
 
 // Leave and Stay: it announced that it goes, or took that back.
 func (p *Presence) Leave() bool { return p.become(Leaving) }
--- a/internal/gateways/read.go
+++ b/internal/gateways/read.go
@@ -128,30 +128,19 @@
 // late already. Those who have dialled go on.
 func DoorShut(wait, gos policy.Tenths) bool { return wait > gos/2 }
 
-// Held is a connection that a gateway says it holds, with what we know of it.
-type Held struct {
-	ID   string
-	Call string // call id, "" not told
-}
-
 // Leftovers picks from what an endpoint holds the connections of no live call. It was asked while no command of ours was out on
 // that endpoint, so that none is being made that we do not know yet; live is the connection of the call that goes on there, ""
 // none. gone: the live one is not there.
-func Leftovers(held []Held, live string) (left []Held, gone bool) {
+func Leftovers(held []string, live string) (left []string, gone bool) {
 	gone = live != ""
-	for _, h := range held {
-		if h.ID == live && live != "" {
+	for _, id := range held {
+		if id == live && live != "" {
 			gone = false
 			continue
 		}
-		left = append(left, h)
+		left = append(left, id)
 	}
-	slices.SortFunc(left, func(a, b Held) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.Sort(left)
 	return left, gone
 }
 
--- a/internal/ledger/frame.go
+++ b/internal/ledger/frame.go
@@ -23,8 +23,7 @@
 	Over Kind = 'O' // a call is over
 	Far  Kind = 'F' // the life of a neighbour's switch; number -1: the own one
 	Beat Kind = 'B' // sign of life
-	Lost Kind = 'L' // some records could not be kept before this one
-	Full Kind = 'S' // the snapshot ends here: what was in the file before it counts no more
+	Full Kind = 'S' // the snapshot that a file begins with ends here
 )
 
 // Record is one frame.
@@ -132,7 +131,7 @@
 			return r, 0, wrong
 		}
 		r.Call.ID = binary.BigEndian.Uint32(p)
-	case Lost, Full:
+	case Full:
 		if len(p) != 0 {
 			return r, 0, wrong
 		}
@@ -218,9 +217,5 @@
 		}
 	case Beat:
 		c.Life.Alive = r.At
-	case Lost:
-		c.Life.Marked = true
-	case Full:
-		c.Life.Marked = false
 	}
 }
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -41,11 +41,10 @@
 
 // Life is what was kept of the program's last life beside its calls.
 type Life struct {
-	Site   uint64         // digest of who it was: a ledger of another exchange is not ours
-	Alive  int64          // last sign of life
-	Own    string         // life of the own switch
-	Far    map[int]string // lives of the neighbours' switches
-	Marked bool           // the disk could not keep all: calls may be missing, none is wrong
+	Site  uint64         // digest of who it was: a ledger of another exchange is not ours
+	Alive int64          // last sign of life
+	Own   string         // life of the own switch
+	Far   map[int]string // lives of the neighbours' switches
 }
 
 // Fate is what becomes of a kept call.
