Cold switches bear the sum of all controllers: calls that come again go by chance

Suspicion checked: each of many controllers may save up one whole set-up for a cold switch, so the sum is their number, not the share. Now first calls, which come independently, save up one set-up as before and start with it; calls that come again, further tries and transit go with their share as the chance and spend it either way. The floor is shared by the number of controllers the settings tell, in place of ids ever listed, and never passes a third of what the group's circuits can carry. Rates count from the process's start.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -29,6 +29,7 @@
 		LateWorth            float64 `json:"late_worth"`
 	}
 	Discovery  string
+	Replicas   int `json:"replicas_of_me"`
 	FamilyInfo struct {
 		ClassCells   [][]int `json:"class_cells"`
 		Holding      []float64
@@ -67,7 +68,7 @@
 		return Settled{}, errors.New("settings name no bearer type")
 	}
 	d := policy.Deployment{
-		Own: -1, Pools: o.FamilyInfo.Shape == "pools",
+		Own: -1, Pools: o.FamilyInfo.Shape == "pools", Controllers: o.Replicas,
 		MaxTries: o.Limits.MaxAttempts, ReleaseTime: spanUp(o.FamilyInfo.ReleaseGuard),
 		Resend: spanUp(o.FamilyInfo.Retransmit), DrainGrace: spanUp(o.Rules.StopSendingWithin),
 		ColdFrom: o.Rules.ColdFrom, RampTime: spanUp(o.Rules.RampTime), FallMultiple: o.Rules.TipMultiple,
--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,220 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// fleet is many controllers of one mesh, one of whose exchanges has its switch replaced by a cold one.
+type fleet struct {
+	d       Deployment
+	rigs    []*rig
+	share   []float64 // of the calls to the exchange, by controller
+	chance  *rand.Rand
+	now     Tenths
+	boot    Tenths
+	ids     uint32
+	perSec  float64 // first calls to each exchange from all controllers together
+	arrived []Tenths
+}
+
+const (
+	fleetNumber = 1 // of the exchange whose switch is replaced
+	fleetOld    = 101
+	fleetNew    = 9001
+	usedOf      = 0.78 // of a processor in a usual hour
+	spare       = 1.33 // circuits to what is carried then
+)
+
+// newFleet starts n controllers; every tenth has several times the mean traffic.
+func newFleet(n int, perSec float64, seed uint64) *fleet {
+	f := &fleet{chance: rand.New(rand.NewPCG(seed, uint64(n))), now: 1_000_000, perSec: perSec}
+	sum := 0.0
+	for i := range n {
+		w := 0.5 + f.chance.Float64()
+		if i%10 == 3 {
+			w *= 4
+		}
+		f.share, sum = append(f.share, w), sum+w
+	}
+	for i := range f.share {
+		f.share[i] /= sum
+		f.rigs = append(f.rigs, f.start(n, i))
+	}
+	return f
+}
+
+// start is a controller as it starts or starts anew: it knows the list, and the state of each group as connections open.
+func (f *fleet) start(n, i int) *rig {
+	r := town(2, 50)
+	f.d = r.d
+	f.d.Seed, f.d.Own, f.d.Controllers = f.chance.Uint64(), n+1, n
+	for b := range f.d.Bearers {
+		f.d.Bearers[b].Holding = 100000
+	}
+	r = newRig(f.d)
+	r.now = f.now
+	r.c = New(f.d, r, r.now)
+	var list []Switch
+	for k := range n {
+		list = append(list, Switch{ID: uint32(100 + k), Number: k, Ready: true})
+	}
+	if f.boot != 0 {
+		list[fleetNumber].Ready = false
+		list = append(list, Switch{ID: fleetNew, Number: fleetNumber, Ready: true, BootAt: f.boot})
+	}
+	r.list(true, list...)
+	for _, s := range list {
+		r.group(s.ID, f.circuits(i), f.circuits(i))
+	}
+	return r
+}
+
+// circuits is the size of each group of controller i: a third more than its calls to an exchange take.
+func (f *fleet) circuits(i int) int {
+	return int(math.Ceil(f.share[i] * f.perSec * spare * float64(f.d.Bearers[0].Holding) / 10000))
+}
+
+// offer gives controller i a call to an exchange; what goes to the cold switch has arrived there. Its processor is quick: the call
+// stands at once and ends, so that circuits bound nothing.
+func (f *fleet) offer(i, dest int, again bool) {
+	r := f.rigs[i]
+	f.ids++
+	k := ask(f.ids, 1, dest)
+	k.Cut = again
+	was := len(r.sent)
+	r.offer(k)
+	if len(r.sent) > was && r.calls[f.ids].out != nil {
+		to := r.sent[len(r.sent)-1].id
+		if to == fleetNew {
+			f.arrived = append(f.arrived, f.now)
+		}
+		r.stand(f.ids)
+		r.end(f.ids, Released, NoReason)
+		r.group(to, f.circuits(i), f.circuits(i))
+	}
+	delete(r.calls, f.ids)
+	r.order, r.sent = r.order[:0], r.sent[:0]
+}
+
+// pass lets time go by with the usual calls, times more.
+func (f *fleet) pass(by Tenths, times float64) {
+	const step = 50
+	for end := f.now + by; f.now < end; {
+		f.now += step
+		for i, r := range f.rigs {
+			r.pass(f.now - r.now)
+			for dest := range f.rigs {
+				if f.chance.Float64() < times*f.perSec*f.share[i]*step/10000 {
+					f.offer(i, dest, false)
+				}
+			}
+		}
+	}
+}
+
+// replace lists the cold switch; the old one drains.
+func (f *fleet) replace() {
+	f.boot = f.now
+	for i, r := range f.rigs {
+		r.list(false, Switch{ID: fleetNew, Number: fleetNumber, Ready: true, BootAt: f.boot}, Switch{ID: fleetOld, Number: fleetNumber, Draining: true})
+		r.group(fleetNew, f.circuits(i), f.circuits(i))
+	}
+}
+
+// again has the calls cut at the old switch come again: each waits some part of a span.
+func (f *fleet) again(calls int, span Tenths) {
+	var when []Tenths
+	for range calls {
+		when = append(when, f.now+Tenths(f.chance.Int64N(int64(span))))
+	}
+	for end := f.now + span; f.now < end; {
+		f.pass(50, 1)
+		for _, at := range when {
+			if at > f.now-50 && at <= f.now {
+				f.offer(f.who(), fleetNumber, true)
+			}
+		}
+	}
+}
+
+// who draws a controller by its share.
+func (f *fleet) who() int {
+	x := f.chance.Float64()
+	for i, w := range f.share {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(f.share) - 1
+}
+
+// worst is the greatest share of what the switch could bear, N, that arrived in a window, and by how much the arrivals in some window
+// passed N and what is put down to chance.
+func (f *fleet) worst() (most, over float64, told string) {
+	over = math.Inf(-1)
+	for i, last := range f.arrived {
+		n := 0
+		for _, at := range f.arrived[:i+1] {
+			if last-at < f.d.FallWindow {
+				n++
+			}
+		}
+		strength := f.d.ColdFrom + (1-f.d.ColdFrom)*float64(last-f.d.FallWindow-f.boot)/float64(f.d.RampTime)
+		bears := f.d.FallMultiple * max(f.d.ColdFrom, strength) * 2 * f.perSec / usedOf * float64(f.d.FallWindow) / 10000
+		most = max(most, float64(n)/bears)
+		if by := float64(n) - bears - 2*math.Sqrt(bears) - 2; by > over {
+			over, told = by, fmt.Sprintf("%d in a fall window %.1f s after the start, N is %.1f", n, float64(last-f.boot)/10000, bears)
+		}
+	}
+	return most, over, told
+}
+
+// TestColdSwitchBearsTheSumOfAllControllers replaces a switch and has the calls that were cut there come again within half a second:
+// at once, or when the controllers have saved up for a while, or most of them start anew before. What single controllers hold must
+// not add up to more than the switch bears, N, on the mean of the seeds, and on none by more than chance allows. First calls of a
+// usual hour must still get through, or the rule would be kept by serving nobody.
+func TestColdSwitchBearsTheSumOfAllControllers(t *testing.T) {
+	const seeds = 4
+	for _, perSec := range []float64{1.5, 5} {
+		for _, n := range []int{5, 20, 30, 48} {
+			for _, what := range []string{"at once", "after a while", "most start anew", "usual"} {
+				sent, share := 0, 0.0
+				for seed := range uint64(seeds) {
+					f := newFleet(n, perSec, seed)
+					f.pass(60000, 1)
+					f.replace()
+					switch what {
+					case "after a while":
+						f.pass(30000, 0.2)
+					case "most start anew":
+						f.pass(10000, 1)
+						for i := range f.rigs {
+							if i%10 < 7 {
+								f.rigs[i] = f.start(n, i)
+							}
+						}
+						f.pass(20000, 1)
+					}
+					if what != "usual" {
+						f.again(int(20*perSec), 5000)
+					}
+					f.pass(60000, 1)
+					most, over, told := f.worst()
+					if share += most / seeds; over > 0 {
+						t.Errorf("%d controllers, %.1f a second, %s, seed %d: %s", n, perSec, what, seed, told)
+					}
+					sent += len(f.arrived)
+				}
+				if share > 1 {
+					t.Errorf("%d controllers, %.1f a second, %s: %.2f of what the switch bears on the mean", n, perSec, what, share)
+				}
+				if asked := perSec * 6 * seeds; what == "usual" && float64(sent) < asked/2 {
+					t.Errorf("%d controllers, %.1f a second: %d of about %.0f first calls went to the cold switch", n, perSec, sent, asked)
+				}
+			}
+		}
+	}
+}
--- a/policy/exchange.go
+++ b/policy/exchange.go
@@ -74,6 +74,7 @@
 	Seed           uint64
 	Own            int // number of the own exchange, -1 with pools
 	Pools          bool
+	Controllers    int // call controllers of the network, 0 when not told
 	Bearers        []Bearer
 	MaxTries       int
 	ReleaseTime    Tenths
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,8 +61,9 @@
 
 	followFirst = Tenths(2500) // first wait before the list is asked for anew; it doubles
 
-	coldDepth = 0.5 // share of the fall window whose budget may be spent at once
-	coldFloor = 6.0 // set-ups a second from all controllers to a cold switch whose traffic they do not know
+	coldDepth    = 0.5     // share of the fall window whose budget may be spent at once
+	coldFloor    = 6.0     // set-ups a second from all controllers to a cold switch of unknown traffic
+	carriedLeast = 1.0 / 3 // or this share of what a group's circuits can carry, if less
 )
 
 // callState names where a call is in its life; become is the one place that changes it.
@@ -82,6 +83,7 @@
 	firstAt   Tenths // when the caller first asked, as far as known
 	gosAt     Tenths // worth trying until then
 	late      bool   // a redial that can earn the late share alone
+	again     bool   // it was turned away, or cut, before
 	abandonAt Tenths
 	tries     int
 	far       int // index of the switch of the present try
@@ -121,7 +123,8 @@
 	reportedAt Tenths
 	sends      decaying
 	sentAt     Tenths  // last send
-	budget     float64 // set-ups a cold switch may still be sent
+	budget     float64 // first calls a cold switch may still be sent
+	chance     float64 // and calls that come again, mostly a part of one
 	budgetAt   Tenths
 	waiting    []pending
 	backAt     map[int]Tenths // destination: when this switch last turned back a call for it
@@ -133,6 +136,7 @@
 	out      Exchange
 	rows     []bearerRow
 	chance   uint64
+	began    Tenths
 	far      []farEnd
 	byID     map[uint32]int
 	serving  map[int]int       // number of an exchange or pool: index of the switch that serves it now
@@ -164,7 +168,7 @@
 
 // New returns a controller at the moment its process starts.
 func New(d Deployment, out Exchange, now Tenths) *Controller {
-	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, byID: map[uint32]int{},
+	c := &Controller{d: d, out: out, chance: d.Seed%0xfffffffe + 1, began: now, byID: map[uint32]int{},
 		serving: map[int]int{}, tandems: map[int]int{}, asked: map[int]*decaying{},
 		calls: map[uint32]*call{}, turned: map[uint64]Tenths{}, noted: map[string]Tenths{}}
 	c.rankBearers()
@@ -221,7 +225,7 @@
 		if c.asked[ask.Dest] == nil {
 			c.asked[ask.Dest] = &decaying{}
 		}
-		if !k.late {
+		if !k.again {
 			c.asked[ask.Dest].add(now, offerHalf, 1)
 		}
 	}
@@ -235,6 +239,7 @@
 // crowding out first calls; it could do harm where many callers ask for one number, of whom all but the
 // first would wait behind first calls.
 func (c *Controller) recognise(now Tenths, k *call) {
+	k.again = k.ask.Redial || k.ask.Cut
 	if k.ask.Transit || k.ask.Cut {
 		return
 	}
@@ -248,7 +253,7 @@
 	}
 	first, again := c.turned[k.ask.Number]
 	if again {
-		k.firstAt = first
+		k.again, k.firstAt = true, first
 		goal := first + c.rows[k.ask.Bearer].gosTarget
 		if dest, ok := c.serving[k.ask.Dest]; ok && now+c.expects(now, &c.far[dest]) < goal {
 			k.gosAt = goal
@@ -499,32 +504,53 @@
 	return f.bootAt > 0 && now < f.bootAt+c.d.RampTime
 }
 
-// coldRoom tells whether the budget of a cold switch has room for one more set-up. What callers here ask
-// of it, or of a warm fellow on average, is this exchange's share of what such a switch can do, with room
-// to spare, since half of a processor's work is its own exchange's calls. The fall multiple times that, at
-// the strength reached so far, is this exchange's share of the budget. Refused set-ups were counted when
-// sent. It starts at a random part of one set-up: controllers that all hear of the start at once would else
-// all wait as long and then send together.
-func (c *Controller) coldRoom(now Tenths, f *farEnd) bool {
+// coldRoom tells whether one more set-up may go to a cold switch, and spends what it takes. What callers here
+// ask of it, or of a warm fellow on average, is this exchange's share of what such a switch can do, with room
+// to spare, since half of a processor's work is its own exchange's calls; where little is known yet, part of
+// what the group can carry. The fall multiple times that, at the strength reached so far, is what comes in.
+// Refused set-ups were counted when sent.
+//
+// First calls come to many controllers independently of one another, so each may save up one whole set-up and
+// the sum scatters about its mean. Calls that come again, and tries after a first one, come to all together,
+// since what caused them struck all. There whole set-ups saved up would go in one window, and their number,
+// not the share, would be the sum. So the share, far less than one set-up where controllers are many, is only
+// the chance to go, and is spent either way.
+func (c *Controller) coldRoom(now Tenths, f *farEnd, k *call) bool {
 	if !c.cold(now, f) {
 		return true
 	}
 	total, fellows := 0.0, 0
 	for i := range c.far {
 		if g := &c.far[i]; g.ready && !c.cold(now, g) {
-			total += g.sends.rate(now, offerHalf)
+			total += g.sends.read(now, offerHalf)
 			fellows++
 		}
 	}
-	rate := max(coldFloor/float64(len(c.far)), total/float64(max(1, fellows)))
+	all, carries := float64(max(1, c.d.Controllers)), float64(f.size)*10000/float64(c.rest)
+	if c.d.Pools { // all controllers share the group
+		carries /= all
+	}
+	asked := total / float64(max(1, fellows))
 	if a := c.asked[f.number]; a != nil {
-		rate = max(rate, a.rate(now, offerHalf))
+		asked = max(asked, a.read(now, offerHalf))
 	}
+	asked *= math.Ln2 / (1 - fade(max(c.d.FallWindow, now-c.began), offerHalf)) / float64(offerHalf) * 10000
+	rate := max(asked, min(carriedLeast*carries, coldFloor/all))
 	rate *= c.d.FallMultiple * (c.d.ColdFrom + (1-c.d.ColdFrom)*float64(now-f.bootAt)/float64(c.d.RampTime))
-	most := max(1, rate*coldDepth*float64(c.d.FallWindow)/10000)
-	f.budget = min(most, f.budget+rate*float64(now-f.budgetAt)/10000)
+	most, came := rate*coldDepth*float64(c.d.FallWindow)/10000, rate*float64(now-f.budgetAt)/10000
 	f.budgetAt = now
-	return f.budget >= 1
+	f.budget = min(max(1, most), f.budget+came)
+	f.chance = min(most, f.chance+came)
+	if k.again || k.tries > 0 || k.ask.Transit {
+		spend := min(1, f.chance)
+		f.chance -= spend
+		return spend == 1 || c.draw() < spend
+	}
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
 }
 
 // send is the guard that every route try passes; it knows the five rules and tells whether the try went
@@ -543,12 +569,9 @@
 		return false
 	case limit <= 0 || k.tries >= c.d.MaxTries || f.free < k.ask.Width:
 		return false
-	case !c.coldRoom(now, f): // rule 4
+	case !c.coldRoom(now, f, k): // rule 4
 		return false
 	}
-	if c.cold(now, f) {
-		f.budget--
-	}
 	f.sends.add(now, offerHalf, 1)
 	f.free -= k.ask.Width
 	f.sentAt = now
@@ -807,7 +830,7 @@
 	for _, s := range list {
 		f := &c.far[c.index(s.ID)]
 		if s.BootAt != f.bootAt { // another process: what was learned of the old one is void
-			f.answers, f.wait, f.holdBack, f.budget, f.budgetAt = decaying{}, 0, 0, c.draw(), now
+			f.answers, f.wait, f.holdBack, f.budget, f.chance, f.budgetAt = decaying{}, 0, 0, 1, 0, now
 		}
 		f.number, f.bootAt, f.ready = s.Number, s.BootAt, s.Ready
 	}
@@ -858,11 +881,6 @@
 	s.n, s.x, s.xx = s.n+1, s.x+x, s.xx+x*x
 }
 
-// rate is events a second.
-func (s *decaying) rate(now, half Tenths) float64 {
-	return s.read(now, half) * math.Ln2 / (float64(half) / 10000)
-}
-
 // quantile is the mean and some deviations; evidence that fades loses its say.
 func (s *decaying) quantile(now Tenths) float64 {
 	n := s.read(now, answerHalf)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -8,7 +8,7 @@
 
 // town is a mesh of n exchanges, this one being number 0, with groups of equal size.
 func town(n, size int) *rig {
-	r := newRig(Deployment{Seed: 7, Own: 0, MaxTries: 4, ReleaseTime: 3000, DrainGrace: 2500,
+	r := newRig(Deployment{Seed: 7, Own: 0, Controllers: n, MaxTries: 4, ReleaseTime: 3000, DrainGrace: 2500,
 		ColdFrom: 0.3, RampTime: 140000, FallMultiple: 3, FallWindow: 15000, ComeBackMost: 20000,
 		Bearers: []Bearer{{Revenue: 1, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000},
 			{Revenue: 5, LateShare: 0.1, GoSTarget: 12000, Abandon: 90000}}})
