A release that no caller answers goes again on another connection

The call's own connection had been closed by its caller. At fault: door.pick took any connection with a readable set-up for one that hears, and callerDown forgot what had just been written.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -84,8 +84,11 @@
 	limitAt  policy.Tenths
 	stoodAt  policy.Tenths
 	overAt   policy.Tenths
-	ended    bool // its caller knows that it is over
-	owedWhy  int  // the cause that its caller is still to be told
+	ended    bool // its caller knows that it is over, or is being told
+	owedWhy  int  // the cause that its caller is told, or still to be told
+	byeOn    Conn // where its caller was told, until it answers
+	byeDue   policy.Tenths
+	byes     int
 }
 
 const (
@@ -101,6 +104,7 @@
 	dueTry due.Kind = iota
 	dueLeave
 	dueWake
+	dueHeard
 )
 
 // report is an ending that the module is told once it has returned from the choice it is making.
@@ -184,6 +188,8 @@
 		switch d.Kind {
 		case dueWake:
 			a.decide.Woken(now, d.Token)
+		case dueHeard:
+			a.unheard(d)
 		case dueTry:
 			if k != nil && k.state == Trying && k.limitAt == d.At {
 				a.giveUpTry(k)
@@ -491,24 +497,6 @@
 	}
 }
 
-// releaseCaller tells a call's caller that it is over, on any connection; where none is open, on the next that opens.
-func (a *Agent) releaseCaller(k *call, why int) {
-	if k.ended { // a caller that has released the call itself is told nothing more
-		return
-	}
-	c := a.door.pick(k.caller)
-	if c == 0 {
-		if k.owedWhy = max(why, 0); len(a.owed) < owedMost {
-			a.owed = append(a.owed, k)
-		} else {
-			a.out.Note("too many releases wait for a caller's connection; one is dropped")
-		}
-		return
-	}
-	k.ended = true
-	a.out.Write(c, a.bye(k.callID, k.uri, max(why, 0)))
-}
-
 // releaseSwitch releases a call towards its switch, on any connection; where none is open, on the next that opens.
 func (a *Agent) releaseSwitch(sw uint32, link Conn, m *sip.Message) {
 	f := a.far[sw]
@@ -522,15 +510,21 @@
 		}
 	}
 	if l != nil {
+		l.byes = append(slices.DeleteFunc(l.byes, func(b bye) bool { return a.now-b.at > byeCrosses }), bye{a.now, *m})
 		a.out.Write(l.conn, m)
 		return
 	}
+	a.owe(f, m)
+	a.dial(f)
+}
+
+// owe keeps a release for the next connection to a switch.
+func (a *Agent) owe(f *farEnd, m *sip.Message) {
 	if len(f.owed) < owedMost {
 		f.owed = append(f.owed, *m)
 	} else {
 		a.out.Note("too many releases wait for a switch; one is dropped")
 	}
-	a.dial(f)
 }
 
 // Far is what is believed of one switch, for the log.
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -25,6 +25,8 @@
 	partAt  policy.Tenths // since when a message lies half read, 0 when none does
 	calls   int           // set-ups open on it
 	proved  bool          // a set-up that could be read came on it
+	deaf    bool          // a release written on it was not answered in time
+	byes    []*call       // whose releases were written on it and are not answered yet
 }
 
 // door keeps callers' connections and says which must go.
@@ -42,17 +44,18 @@
 	}
 }
 
-// pick chooses the connection for a release: the call's own, else one on which set-ups came, the latest first.
-func (d *door) pick(own Conn) Conn {
-	if d.conns[own] != nil {
-		return own
+// pick chooses the connection for a release: the call's own, else one on which set-ups came, the latest first; nil when there is
+// none that hears.
+func (d *door) pick(own Conn) *callerConn {
+	if o := d.conns[own]; o != nil && !o.deaf {
+		return o
 	}
 	for _, c := range slices.Backward(d.order) {
-		if o := d.conns[c]; o != nil && o.proved {
-			return c
+		if o := d.conns[c]; o != nil && o.proved && !o.deaf {
+			return o
 		}
 	}
-	return 0
+	return nil
 }
 
 // over tells which connection must go where one more would be too many: one that said nothing whole yet, the oldest of
@@ -122,6 +125,9 @@
 			a.tally.Left++
 		}
 	}
+	for _, k := range o.byes { // they may have crossed its close
+		a.sayAgain(k)
+	}
 	a.settle()
 }
 
@@ -198,7 +204,12 @@
 	}
 	o.wholeAt, o.partAt = now, 0
 	switch {
-	case m.Status != 0: // a release was heard
+	case m.Status != 0 && m.CSeqMethod == sip.Bye:
+		if id, err := readID(m.CallID); err == nil && a.calls[id] != nil {
+			o.deaf = false
+			a.heard(a.calls[id])
+		}
+	case m.Status != 0:
 	case m.Method == sip.Invite:
 		a.offer(o, readAt, m)
 	case m.Method == sip.Cancel:
@@ -267,7 +278,7 @@
 	owed := a.owed
 	a.owed = nil
 	for _, k := range owed {
-		a.releaseCaller(k, k.owedWhy)
+		a.sayOver(k)
 	}
 }
 
@@ -282,12 +293,12 @@
 		return
 	}
 	k := &call{id: in.id, state: Standing, caller: o.conn, callID: m.CallID, uri: m.URI, far: in.at, stoodAt: a.now}
-	if a.far[in.at] == nil || a.standing >= overMost {
-		a.releaseCaller(k, causeTempFail)
-		return
-	}
 	a.calls[k.id] = k
 	a.standing++
+	if a.far[in.at] == nil || a.standing > overMost {
+		a.releaseCaller(k, causeTempFail)
+		a.become(k, Over)
+	}
 }
 
 // cancelled takes a caller's word that it gives a set-up up.
@@ -320,6 +331,7 @@
 	heard := m.Answer(sip.OK)
 	a.out.Write(c, &heard)
 	k.ended = true
+	a.heard(k)
 	switch k.state {
 	case Standing:
 		a.releaseSwitch(k.far, k.link, a.bye(k.callID, k.uri, max(cause(m), causeNormal)))
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -48,6 +48,7 @@
 	partAt  policy.Tenths // since when a message lies half read, 0 when none does
 	tries   int
 	busyAt  policy.Tenths // since when set-ups have been out on it without a break
+	byes    []bye         // releases written on it lately
 }
 
 // unheard is how long a sign of life has been owed on a connection, 0 when none is.
@@ -200,6 +201,13 @@
 	}
 	delete(a.linkOf, c)
 	if f := a.far[sw]; f != nil {
+		if l := f.link(c); l != nil {
+			for i := range l.byes { // they may have crossed its close
+				if b := &l.byes[i]; now-b.at <= byeCrosses {
+					a.owe(f, &b.m)
+				}
+			}
+		}
 		f.links = slices.DeleteFunc(f.links, func(l *link) bool { return l.conn == c })
 		f.pace.Down(now)
 		if f.dialAt = now; len(f.links) == 0 && a.wanted(f) { // at once: releases come on open connections only
