Callers who have gone, the end of the process and writers that stayed: crossings on real connections

A suspicion that proved wrong: a try waiting for a dial was taken back already when the agent knew. With each guard out its test fails, but for the inbox before timers, which the stall guard doubles.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -46,6 +46,7 @@
 	Write(to Conn, m *sip.Message) // nothing where the connection is gone
 	Close(c Conn, why string)      // once what was written before has gone out
 	Dial(sw, ticket uint32, address string)
+	Left(caller Conn, callID string) bool // its connection has ended, or it has cancelled: the message of it is on its way here
 	Note(text string)
 }
 
@@ -116,6 +117,7 @@
 	why    policy.Reason
 	wait   policy.Tenths
 	rep    policy.Report
+	left   bool // the caller has left: nothing is to be decided any more
 }
 
 // Tally counts what became of calls since the start.
@@ -176,6 +178,9 @@
 	return a.houseAt
 }
 
+// Taken counts the calls that were taken since the start.
+func (a *Agent) Taken() uint64 { return a.tally.Taken }
+
 // Unanswered counts the calls that have no final answer yet.
 func (a *Agent) Unanswered() int { return a.open }
 
@@ -228,6 +233,11 @@
 		if k == nil || k.state != Offered || k.tries-1 != r.try {
 			continue
 		}
+		if r.left {
+			a.left(k)
+			a.tally.Left++
+			continue
+		}
 		a.decide.Ended(a.now, r.handle, r.try, r.sw, r.end, false, r.why, r.wait, r.rep)
 	}
 }
@@ -252,12 +262,17 @@
 	case k.state == Standing:
 		a.standing--
 	}
-	if s == Over {
+	if k.state = s; s == Over {
 		delete(a.byHandle, k.handle)
-		k.overAt = a.now
-		a.over = append(a.over, k)
+		a.remember(k)
 	}
-	k.state = s
+}
+
+// remember keeps a call that is over for a while.
+func (a *Agent) remember(k *call) {
+	k.overAt = a.now
+	a.calls[k.id] = k
+	a.over = append(a.over, k)
 }
 
 // forget drops what has been over for long, and the oldest where there are too many.
@@ -480,9 +495,8 @@
 	k, why, rep := a.calls[id], cause(m), readLoad(m)
 	switch {
 	case k == nil: // it stood before this process started: its caller must hear of it all the same
-		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over, overAt: a.now}
-		a.calls[id] = k
-		a.over = append(a.over, k)
+		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
+		a.remember(k)
 		a.releaseCaller(k, why)
 	case k.state == Standing && k.far == f.entry.ID:
 		a.releaseCaller(k, why)
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -251,6 +251,12 @@
 	a.proves(o)
 	k := &call{id: in.id, caller: o.conn, callID: m.CallID, uri: m.URI, class: m.Get(fieldClass), cseq: m.CSeq, body: m.Body,
 		leavesAt: readAt + in.ask.TTL - handBack}
+	if a.out.Left(k.caller, k.callID) { // its CANCEL, or the end of its connection, comes after it
+		k.body, k.state = nil, Over
+		a.remember(k)
+		a.tally.Left++
+		return
+	}
 	if a.open >= a.openMost || a.held+len(k.body) > a.heldMost { // the answer when full
 		refusal := m.Answer(sip.ServiceUnavail)
 		a.out.Write(o.conn, &refusal)
--- a/internal/b2bua/desk.go
+++ b/internal/b2bua/desk.go
@@ -18,6 +18,10 @@
 	}
 	k.tries++
 	k.far, k.link = to, 0
+	if a.out.Left(k.caller, k.callID) { // no try may begin for a caller who has gone
+		a.later = append(a.later, report{handle: id, try: k.tries - 1, left: true})
+		return
+	}
 	f := a.far[to]
 	if f == nil || !a.wanted(f) || k.tries > a.set.Module.MaxTries || a.now >= k.leavesAt {
 		a.later = append(a.later, report{handle: id, try: k.tries - 1, sw: to, end: policy.Unsent, rep: untold})
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -168,7 +168,13 @@
 	waiting := f.waiting
 	f.waiting = nil
 	for _, h := range waiting {
-		if k := a.byHandle[h]; k != nil && k.state == Trying && k.link == 0 && k.far == sw {
+		k := a.byHandle[h]
+		switch {
+		case k == nil || k.state != Trying || k.link != 0 || k.far != sw:
+		case a.out.Left(k.caller, k.callID):
+			a.left(k)
+			a.tally.Left++
+		default:
 			a.setUp(k, f)
 		}
 	}
--- a/internal/b2bua/rig_test.go
+++ b/internal/b2bua/rig_test.go
@@ -76,10 +76,11 @@
 	notes   []string
 	wrote   []written
 	version uint64
-	silent  map[Conn]bool // the far end of these says nothing any more
-	asked   []written     // signs of life asked for
-	byes    []written     // releases that callers have not answered yet
-	deaf    map[Conn]bool // callers on these answer no release
+	silent  map[Conn]bool   // the far end of these says nothing any more
+	asked   []written       // signs of life asked for
+	byes    []written       // releases that callers have not answered yet
+	gone    map[string]bool // ids whose callers have left, though the agent was not told yet
+	deaf    map[Conn]bool   // callers on these answer no release
 }
 
 type written struct {
@@ -96,7 +97,7 @@
 }
 
 func newRig(t fatalist) *rig {
-	r := &rig{t: t, now: 17e12, calls: map[string]*heardOf{}, links: map[Conn]uint32{}, drained: map[uint32]bool{}, closed: map[Conn]string{}, silent: map[Conn]bool{}, deaf: map[Conn]bool{}}
+	r := &rig{t: t, now: 17e12, calls: map[string]*heardOf{}, links: map[Conn]uint32{}, drained: map[uint32]bool{}, closed: map[Conn]string{}, silent: map[Conn]bool{}, deaf: map[Conn]bool{}, gone: map[string]bool{}}
 	r.a = New(settled(), Bounds{Calls: 50, Octets: 1 << 16, Callers: 6}, r, r.now,
 		func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 			return policy.New(d, x, now)
@@ -333,7 +334,8 @@
 func (r *rig) Dial(sw, ticket uint32, address string) {
 	r.dials = append(r.dials, dialAsked{sw, ticket, address})
 }
-func (r *rig) Note(text string) { r.notes = append(r.notes, text) }
+func (r *rig) Left(caller Conn, callID string) bool { return r.gone[callID] }
+func (r *rig) Note(text string)                     { r.notes = append(r.notes, text) }
 
 // sent lists what went to a connection, by method or status.
 func (r *rig) sent(to Conn) string {
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 )
@@ -97,6 +98,8 @@
 	mu     sync.Mutex
 	buf    []byte
 	closed bool
+	late   bool // the deadline of its reader has passed
+	timer  *time.Timer
 	news   chan struct{}
 }
 
@@ -123,11 +126,14 @@
 		e.in.mu.Lock()
 		n := copy(b, e.in.buf)
 		e.in.buf = e.in.buf[n:]
-		closed := e.in.closed
-		if closed {
+		closed, late := e.in.closed, e.in.late
+		if closed || late {
 			e.in.tell()
 		}
 		e.in.mu.Unlock()
+		if late {
+			return 0, os.ErrDeadlineExceeded
+		}
 		if n > 0 {
 			return n, nil
 		}
@@ -161,10 +167,36 @@
 	}
 	return nil
 }
-func (e *Conn) LocalAddr() net.Addr              { return address("here") }
-func (e *Conn) RemoteAddr() net.Addr             { return address("there") }
-func (e *Conn) SetDeadline(time.Time) error      { return nil }
-func (e *Conn) SetReadDeadline(time.Time) error  { return nil }
+func (e *Conn) LocalAddr() net.Addr         { return address("here") }
+func (e *Conn) RemoteAddr() net.Addr        { return address("there") }
+func (e *Conn) SetDeadline(time.Time) error { return nil }
+
+// CloseWrite ends this side only, as a half-closed socket does.
+func (e *Conn) CloseWrite() error {
+	e.out.mu.Lock()
+	defer e.out.mu.Unlock()
+	e.out.closed = true
+	e.out.tell()
+	return nil
+}
+
+// SetReadDeadline has reads fail from an instant on, or no longer.
+func (e *Conn) SetReadDeadline(at time.Time) error {
+	e.in.mu.Lock()
+	defer e.in.mu.Unlock()
+	if e.in.late = false; e.in.timer != nil {
+		e.in.timer.Stop()
+	}
+	if !at.IsZero() {
+		e.in.timer = time.AfterFunc(time.Until(at), func() {
+			e.in.mu.Lock()
+			defer e.in.mu.Unlock()
+			e.in.late = true
+			e.in.tell()
+		})
+	}
+	return nil
+}
 func (e *Conn) SetWriteDeadline(time.Time) error { return nil }
 
 // Gate holds up everything that passes it while it is shut, as SIGSTOP does a process.
--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -23,22 +24,38 @@
 	return ln
 }
 
-// runOnLoopback runs a controller whose callers come to here, with one switch and a notice board; the function ends it.
-func runOnLoopback(t *testing.T, here net.Listener, far, board string) func() {
-	text := strings.NewReplacer("10.0.0.2:1", far, `"board":"board"`, fmt.Sprintf("%q:%q", "board", board)).Replace(fmt.Sprintf(configuration, 256))
+func dialLoopback(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// onLoopback makes a controller with one switch and a notice board; deadline is the longest wait of its callers, in milliseconds.
+func onLoopback(t *testing.T, far, board, deadline string, dial Dialer, log io.Writer) *Station {
+	text := strings.NewReplacer("10.0.0.2:1", far, `"board":"board"`, fmt.Sprintf("%q:%q", "board", board), "3000.0", deadline).Replace(fmt.Sprintf(configuration, 256))
 	m, err := ParseMachine([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var d net.Dialer
-	s := New(m, module,
-		func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }, slog.New(slog.DiscardHandler))
-	ctx, term := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx, here, nil) }()
+	return New(m, module, dial, slog.New(slog.NewTextHandler(log, nil)))
+}
+
+// runOnLoopback runs a controller whose callers come to here, with one switch and a notice board; the function ends it.
+func runOnLoopback(t *testing.T, here net.Listener, far, board string) func() {
+	term, ended := run(t, onLoopback(t, far, board, "3000.0", dialLoopback, io.Discard), here)
 	return func() {
 		term()
-		if err := <-ended; err != nil {
+		ended()
+	}
+}
+
+// run runs a controller. The first function has it drain, the second waits for its end.
+func run(t *testing.T, s *Station, here net.Listener) (term, ended func()) {
+	ctx, term := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- s.Run(ctx, here, nil) }()
+	return term, func() {
+		t.Helper()
+		if err := <-end; err != nil {
 			t.Error(err)
 		}
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -253,8 +253,8 @@
 	defer far.Close()
 	c := &stuck{Conn: near, shut: make(chan struct{})}
 	w := newWire(1, c, 4<<10)
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() { w.write(stop); close(done) }()
+	done := make(chan struct{})
+	go func() { w.write(); close(done) }()
 	m := setUp(id1, 1000)
 	kept := 0
 	for kept < 1000 && w.put(&m) { // never waits
@@ -264,7 +264,6 @@
 		t.Errorf("%d messages kept for a reader that takes none", kept)
 	}
 	<-done // the connection was closed, so the writer has ended
-	close(stop)
 }
 
 func TestNoticeBoardMovesAndIsFollowed(t *testing.T) {
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/metrics"
 	"sync"
 	"syscall"
@@ -24,7 +25,9 @@
 )
 
 const (
-	inboxMost = 512 // messages that wait for the owner; then their readers wait, and so do the senders
+	// Messages that wait for the owner; then their readers wait, and so do the senders. On a quarter of a core a message takes up to
+	// half a millisecond, and a caller who has gone must be known to have gone within 100 ms.
+	inboxMost = 128
 
 	// Of the descriptors callers may take three fifths: the platform's hold a third at most, the rest is room for others
 	// that connect. A reserve is kept for switches, the board and the files of the program.
@@ -44,6 +47,10 @@
 	abandonTop = 3 * time.Second
 	killAfter  = 700 * time.Millisecond
 	killRoom   = 150 * time.Millisecond
+
+	// Before the process ends no set-up may have come for so long: one that crosses the end is lost.
+	quietBefore = 50 * time.Millisecond
+	acceptLast  = 5 * time.Millisecond // for what the kernel has accepted already, before the listener closes
 )
 
 // Dialer opens a connection.
@@ -57,6 +64,7 @@
 	callerSays
 	callerPart
 	callerBad
+	doorShut
 	dialled
 	switchDown
 	switchSays
@@ -88,15 +96,20 @@
 	agent   *b2bua.Agent
 	began   time.Time
 	inbox   chan event
-	stop    chan struct{} // closed when the station has ended
+	stop    chan struct{} // closed when the station has ended: nobody handles what is posted
+	ending  context.Context
+	cancel  context.CancelFunc
 	all     sync.WaitGroup
 	room    chan struct{} // one token for each connection of a caller
 	callers map[b2bua.Conn]*wire
 	links   map[b2bua.Conn]*wire
+	mu      sync.Mutex // names, open
 	names   b2bua.Conn
-	mu      sync.Mutex // names
+	open    map[*wire]struct{}
 	boardAt chan string
-	known   uint64 // number of the last event
+	shut    chan struct{} // closed when the listener takes no more
+	known   uint64        // number of the last event
+	taken   uint64        // calls, when it was last looked whether more come
 	isUp    bool
 	stall   lag.Stall
 	stood   int
@@ -110,7 +123,8 @@
 	callers := m.Limits.Sockets * callersOf / callersIn
 	s := &Station{m: m, dial: dial, log: log, began: time.Now(), inbox: make(chan event, inboxMost),
 		stop: make(chan struct{}), room: make(chan struct{}, callers+8), callers: map[b2bua.Conn]*wire{},
-		links: map[b2bua.Conn]*wire{}, boardAt: make(chan string, 1)}
+		links: map[b2bua.Conn]*wire{}, open: map[*wire]struct{}{}, boardAt: make(chan string, 1), shut: make(chan struct{})}
+	s.ending, s.cancel = context.WithCancel(context.Background())
 	memory := m.Limits.MemoryMB << 20
 	bounds := b2bua.Bounds{Calls: memory / octetsACall, Octets: memory / octetsPart, Callers: callers}
 	if most := m.Settled.OpenMost; most > 0 {
@@ -144,37 +158,80 @@
 	}
 }
 
-func (s *Station) name() b2bua.Conn {
+// wire takes a new connection into care.
+func (s *Station) wire(c net.Conn, most int) *wire {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.names++
-	return s.names
+	w := newWire(s.names, c, most)
+	s.open[w] = struct{}{}
+	return w
+}
+
+// done ends the care for a connection; its reader has seen its end.
+func (s *Station) done(w *wire) {
+	w.finish()
+	w.c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, w)
 }
 
 // Run serves callers at a listener until ctx ends, and then until every call taken is answered.
 func (s *Station) Run(ctx context.Context, ln net.Listener, reload <-chan Machine) error {
-	background, cancel := context.WithCancel(context.Background())
-	s.all.Go(func() { s.accept(ln) })
+	s.all.Go(func() {
+		s.accept(ln)
+		close(s.shut)
+	})
 	s.all.Go(func() {
 		c := board.Client{Dial: s.dial, Address: s.boardAt,
 			Took:   func(e board.Event) { s.post(event{kind: noticed, notice: e}) },
 			Change: func(up bool, err error) { s.post(event{kind: boardChange, up: up, err: err}) }}
-		c.Keep(background, s.m.Board, s.known)
+		c.Keep(s.ending, s.m.Board, s.known)
 	})
 	s.log.Info("in service", "name", s.m.Name, "listen", s.m.Listen, "cores", s.m.Limits.Cores, "memory_mb", s.m.Limits.MemoryMB,
 		"sockets", s.m.Limits.Sockets, "list", s.known)
 	s.own(ctx, ln, reload)
-	cancel()
-	close(s.stop)
+	s.cancel()
 	ln.Close()
+	s.end()
+	s.log.Info("ended", "unanswered", s.agent.Unanswered())
+	return nil
+}
+
+// end lets every connection write what waits and closes it. What still comes is thrown away; what does not end by itself is ended.
+func (s *Station) end() {
+	finish := func(w *wire) {
+		if w != nil {
+			w.finish()
+		}
+	}
 	for _, some := range []map[b2bua.Conn]*wire{s.callers, s.links} {
 		for _, w := range some {
-			w.c.Close()
+			finish(w)
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.all.Wait()
+		close(ended)
+	}()
+	late := time.After(lingerMost + killRoom/5)
+	for {
+		select {
+		case e := <-s.inbox:
+			finish(e.w)
+		case <-late:
+			close(s.stop)
+			s.mu.Lock()
+			for w := range s.open {
+				w.c.Close()
+			}
+			s.mu.Unlock()
+		case <-ended:
+			return
 		}
 	}
-	s.all.Wait()
-	s.log.Info("ended", "unanswered", s.agent.Unanswered())
-	return nil
 }
 
 // own is the owner's loop.
@@ -183,9 +240,8 @@
 	defer summary.Stop()
 	wait := time.NewTimer(0)
 	defer wait.Stop()
-	done := ctx.Done()
-	var stopListening, giveUp <-chan time.Time
-	listening := true
+	done, shut := ctx.Done(), (<-chan struct{})(nil)
+	var stopListening, giveUp, quiet <-chan time.Time
 	for {
 		now := s.now()
 		due := s.agent.Next()
@@ -212,11 +268,23 @@
 			s.log.Info("draining", "unanswered", s.agent.Unanswered())
 		case <-stopListening:
 			s.woke(due)
-			listening = false
-			ln.Close()
+			shut = s.shut
+			lastCallers(ln)
+		case <-shut:
+			s.woke(due)
+			shut, quiet = nil, time.After(quietBefore)
+		case <-quiet:
+			s.woke(due)
+			if taken := s.agent.Taken(); taken != s.taken || s.agent.Unanswered() > 0 {
+				s.taken, quiet = taken, time.After(quietBefore)
+				break
+			}
+			return
 		case <-giveUp:
+			for range len(s.inbox) {
+				s.handle(<-s.inbox)
+			}
 			s.agent.FailOpen(s.now())
-			s.flush()
 			return
 		case m := <-reload:
 			s.woke(due)
@@ -235,34 +303,20 @@
 		if _, reading := s.stall.Reading(now); !reading && now >= s.agent.Next() {
 			s.agent.Tick(now, s.stall.Ended())
 		}
-		if !listening && s.agent.Unanswered() == 0 {
-			s.flush()
-			return
-		}
 	}
 }
 
-func (s *Station) woke(due policy.Tenths) {
-	if s.stall.Woke(s.now(), due) {
-		s.stood++
+// lastCallers lets a listener take what the kernel has accepted for it: closing it resets these, and a set-up on one counts as taken.
+func lastCallers(ln net.Listener) {
+	if d, ok := ln.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(acceptLast)) != nil {
+		ln.Close()
 	}
 }
 
-// flush gives what was answered the time to go out.
-func (s *Station) flush() {
-	for range 20 {
-		waiting := 0
-		for _, w := range s.callers {
-			w.mu.Lock()
-			waiting += len(w.pending)
-			w.mu.Unlock()
-		}
-		if waiting == 0 {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
+func (s *Station) woke(due policy.Tenths) {
+	if s.stall.Woke(s.now(), due) {
+		s.stood++
 	}
-	time.Sleep(10 * time.Millisecond)
 }
 
 func (s *Station) handle(e event) {
@@ -280,6 +334,9 @@
 		}
 	case callerSays:
 		s.agent.FromCaller(now, e.at, e.conn, &e.m)
+		if e.m.Method == sip.Cancel {
+			e.w.seen(e.m.CallID)
+		}
 	case callerPart:
 		s.agent.CallerPart(e.conn, e.at)
 	case callerBad:
@@ -288,8 +345,7 @@
 	case dialled:
 		if e.w != nil {
 			s.links[e.conn] = e.w
-			s.all.Go(func() { e.w.write(s.stop) })
-			s.all.Go(func() { s.readSwitch(e.w) })
+			s.carry(e.w, s.readSwitch)
 		}
 		s.agent.Dialled(now, e.sw, e.ticket, e.conn, e.refused)
 	case switchDown:
@@ -324,7 +380,8 @@
 		c, err := ln.Accept()
 		if err != nil {
 			<-s.room
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+				ln.Close()
 				return
 			}
 			select { // out of descriptors, or the connection broke before it was taken
@@ -334,42 +391,52 @@
 				return
 			}
 		}
-		w := newWire(s.name(), c, callerMost)
+		w := s.wire(c, callerMost)
 		if !s.post(event{kind: callerUp, conn: w.id, w: w}) {
-			c.Close()
+			s.done(w)
 			<-s.room
 			return
 		}
-		s.all.Go(func() { w.write(s.stop) })
-		s.all.Go(func() {
+		s.carry(w, func(w *wire) {
 			s.readCaller(w)
-			c.Close()
 			<-s.room
 		})
 	}
 }
 
+// carry starts what writes to a connection and what reads from it.
+func (s *Station) carry(w *wire, read func(*wire)) {
+	s.all.Go(w.write)
+	s.all.Go(func() {
+		read(w)
+		s.done(w)
+	})
+}
+
 func (s *Station) readCaller(w *wire) {
 	r := sip.NewReader(w.c)
 	r.Part = func() { s.post(event{kind: callerPart, conn: w.id, at: s.now()}) }
 	for {
 		m, err := r.Read()
 		switch {
+		case err == nil && w.finishing(): // only until the far end has read what was written to it
+			continue
 		case err == nil:
-			if !s.post(event{kind: callerSays, conn: w.id, m: m, at: s.now()}) {
+			if m.Method == sip.Cancel {
+				w.cancels(m.CallID)
+			}
+			if !s.post(event{kind: callerSays, conn: w.id, w: w, m: m, at: s.now()}) {
 				return
 			}
+			continue
 		case errors.Is(err, sip.ErrMalformed), errors.Is(err, sip.ErrTooLong):
 			s.post(event{kind: callerBad, conn: w.id, m: m, err: err})
-			// What still comes is read and thrown away until the answer is written and the connection closed: closing on
-			// unread octets would have the answer lost.
+			// What still comes is read and thrown away until the answer is written and the connection closed.
 			io.Copy(io.Discard, w.c) //nolint:errcheck // its end is all that matters
-			s.post(event{kind: callerDown, conn: w.id})
-			return
-		default:
-			s.post(event{kind: callerDown, conn: w.id})
-			return
 		}
+		w.gone.Store(true)
+		s.post(event{kind: callerDown, conn: w.id})
+		return
 	}
 }
 
@@ -378,13 +445,11 @@
 	r.Part = func() { s.post(event{kind: switchPart, conn: w.id, at: s.now()}) }
 	for {
 		m, err := r.Read()
-		if err != nil {
-			w.c.Close()
-			w.finish()
+		switch {
+		case err != nil:
 			s.post(event{kind: switchDown, conn: w.id, err: err})
 			return
-		}
-		if !s.post(event{kind: switchSays, conn: w.id, m: m}) {
+		case !w.finishing() && !s.post(event{kind: switchSays, conn: w.id, m: m}):
 			return
 		}
 	}
@@ -460,19 +525,25 @@
 		within = trunk.Span(t)
 	}
 	s.all.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), within)
+		ctx, cancel := context.WithTimeout(s.ending, within)
 		defer cancel()
 		c, err := s.dial(ctx, address)
 		e := event{kind: dialled, sw: sw, ticket: ticket, refused: errors.Is(err, syscall.ECONNREFUSED)}
 		if err == nil {
-			e.w = newWire(s.name(), c, switchMost)
+			e.w = s.wire(c, switchMost)
 			e.conn = e.w.id
 		}
-		if !s.post(e) && c != nil {
-			c.Close()
+		if !s.post(e) && e.w != nil {
+			s.done(e.w)
 		}
 	})
 }
 
+// Left tells that a caller has closed its connection or cancelled its call, though the message of it may lie in the inbox.
+func (h *hands) Left(caller b2bua.Conn, callID string) bool {
+	w := h.callers[caller]
+	return w == nil || w.left(callID)
+}
+
 // Note writes a line for staff.
 func (h *hands) Note(text string) { (*Station)(h).say(text) }
