One budget of descriptors for callers, switches, the board and what the program needs

Suspicion checked by reading: callers had three fifths, a switch up to four connections, and nothing added them up: 153 + 8 + 4 x 48 are more than 256. Now b2bua.Descriptors divides what the process may hold; dials under way and connections on their way out count; where all for switches are in use one to a switch that has others, or the quietest where calls or releases wait, makes room. The platform's callers keep their third. With idle callers on all theirs and the board away, the platform's test, a call, a switch and the board get theirs (64 descriptors, in virtual time).

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -138,6 +138,8 @@
 	held     int // octets of descriptions
 	openMost int
 	heldMost int
+	linkMost int
+	dialled  int // dials under way
 	handles  uint32
 	tickets  uint32
 	fresh    uint64
@@ -153,18 +155,11 @@
 	lateness policy.Tenths // greatest of a timer since it was last asked for
 }
 
-// Bounds are what the agent may hold.
-type Bounds struct {
-	Calls   int // neither standing nor over
-	Octets  int // of descriptions
-	Callers int // connections of callers
-}
-
 // New makes an agent; build makes its decider round the interface that the agent offers to it.
 func New(set deployment.Settled, b Bounds, out Carrier, now policy.Tenths,
 	build func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{set: set, out: out, now: now, calls: map[uint64]*call{}, byHandle: map[uint32]*call{},
-		openMost: b.Calls, heldMost: b.Octets, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{},
+		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{},
 		door: newDoor(b.Callers), houseAt: now + houseWork, fresh: set.Module.Seed}
 	a.decide = build(set.Module, (*desk)(a), now)
 	return a
@@ -351,7 +346,10 @@
 	l := f.room(a.now, a.stalled, a.set.StreamsMost)
 	if l == nil {
 		f.waiting = append(f.waiting, k.handle)
-		a.dial(f)
+		if a.dial(f); a.full() && !f.dialing { // nothing to wait for
+			a.offLink(k)
+			a.endTry(k.handle, policy.Unreached)
+		}
 		return
 	}
 	if l.tries++; l.tries == 1 {
--- /dev/null
+++ b/internal/b2bua/bounds_test.go
@@ -0,0 +1,78 @@
+package b2bua
+
+import (
+	"fmt"
+	"testing"
+
+	"indigodrift/internal/board"
+	"indigodrift/internal/sip"
+)
+
+func TestDescriptorsForCallersAndSwitchesFitTogether(t *testing.T) {
+	for all := 64; all <= 4096; all++ {
+		callers, links := Descriptors(all)
+		if sum := callers + links + 2*Closing + descriptorsKept; callers < all/3 || links < 1 || sum > all {
+			t.Fatalf("%d descriptors: %d for callers, %d for switches, %d with what is kept", all, callers, links, sum)
+		}
+	}
+	if _, links := Descriptors(256); links < 2*48 {
+		t.Errorf("256 descriptors: %d for switches", links)
+	}
+}
+
+// manySwitches is an agent that may hold fewer connections than there are switches.
+func manySwitches(t *testing.T, links, switches int) *rig {
+	r := newRigWithin(t, Bounds{Calls: 200, Octets: 1 << 16, Callers: 6, Links: links})
+	var list []board.Switch
+	for i := range switches {
+		list = append(list, board.Switch{ID: uint32(i), Cell: i, Address: fmt.Sprintf("10.0.1.%d:1", i)})
+	}
+	for len(r.dials) > 0 { // those of the rig's own list
+		r.dial(true, false)
+	}
+	r.list(true, list...)
+	return r
+}
+
+func TestConnectionsToSwitchesStayWithinTheirDescriptors(t *testing.T) {
+	const links = 5
+	r := manySwitches(t, links, 20)
+	c := r.callerUp()
+	for n := range 60 {
+		if held := len(r.links) + len(r.dials); held > links {
+			t.Fatalf("%d connections and dials, %d allowed", held, links)
+		}
+		if n%3 == 0 && len(r.dials) > 0 {
+			if up := r.dial(false, n%2 == 0); up != 0 && r.closed[up] == "" {
+				r.notify(up, 20, 20)
+			}
+		}
+		r.offer(c, 1+n%19, 1000)
+		r.pass(700)
+	}
+}
+
+// Every descriptor for switches is in use: a release goes out all the same, on a connection that takes the place of a quiet one.
+func TestReleaseTakesTheDescriptorOfAQuietConnection(t *testing.T) {
+	r := manySwitches(t, 3, 4)
+	r.dialAll(9, 9)
+	c := r.callerUp()
+	k := r.offer(c, 1, 1000)
+	r.answer(k, sip.OK)
+	r.linkDown(k.standsOn)
+	r.list(false, board.Switch{ID: 4, Cell: 4, Address: "10.0.1.4:1"}) // a new switch wants one as well
+	if len(r.dials) != 1 {
+		t.Fatalf("%d dials", len(r.dials))
+	}
+	r.dial(false, false)
+	for r.pass(1000); len(r.links) < 3; r.pass(1000) { // the new switch has the one that was free
+		for len(r.dials) > 0 {
+			r.dial(false, r.dials[0].sw == 4)
+		}
+	}
+	r.a.FromCaller(r.now, r.now, c, r.bye(k.id, 16))
+	r.dialAll(9, 9)
+	if k.switchReleased != 1 || len(r.links) > 3 {
+		t.Fatalf("released %d times, %d connections", k.switchReleased, len(r.links))
+	}
+}
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -119,16 +119,46 @@
 	return nil
 }
 
-// dial asks for one more connection, unless one is being made.
+// dial asks for one more connection, unless one is being made. Where the descriptors for switches are all in use, one to a switch
+// that has others, on which nothing is out, makes room; else one that has been quiet longest, if calls or releases wait.
 func (a *Agent) dial(f *farEnd) {
-	if f.dialing || len(f.links) >= linksMost {
+	if f.dialing || len(f.links) >= linksMost || a.full() && !a.makeRoom(f) {
 		return
 	}
 	a.tickets++
+	a.dialled++
 	f.dialing, f.ticket = true, a.tickets
 	a.out.Dial(f.entry.ID, f.ticket, f.entry.Address)
 }
 
+// full tells that the descriptors for switches are all in use.
+func (a *Agent) full() bool { return len(a.linkOf)+a.dialled >= a.linkMost }
+
+func (a *Agent) makeRoom(f *farEnd) bool {
+	var worst *link
+	for _, id := range a.farOrder {
+		other := a.far[id]
+		for _, l := range other.links {
+			single := len(other.links) == 1
+			if other == f || l.tries > 0 || single && len(f.waiting) == 0 && len(f.owed) == 0 {
+				continue
+			}
+			if worst == nil || l.heardAt < worst.heardAt {
+				worst = l
+			}
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	other := a.far[a.linkOf[worst.conn]]
+	delete(a.linkOf, worst.conn)
+	other.links = slices.DeleteFunc(other.links, func(l *link) bool { return l == worst })
+	other.dialAt = a.now + other.pace.Wait()
+	a.out.Close(worst.conn, "its descriptor is needed for another switch")
+	return true
+}
+
 // wanted tells whether connections to a switch are to be kept.
 func (a *Agent) wanted(f *farEnd) bool {
 	return f.entry.Cell != a.set.Module.Own && f.entry.State != board.Gone
@@ -137,6 +167,7 @@
 // Dialled tells how a dial ended: a connection, or refused (nothing listens there) or not up in time.
 func (a *Agent) Dialled(now policy.Tenths, sw, ticket uint32, c Conn, refused bool) {
 	a.now = now
+	a.dialled--
 	f := a.far[sw]
 	if f == nil || f.ticket != ticket {
 		if c != 0 {
--- a/internal/b2bua/rig_test.go
+++ b/internal/b2bua/rig_test.go
@@ -97,8 +97,12 @@
 }
 
 func newRig(t fatalist) *rig {
+	return newRigWithin(t, Bounds{Calls: 50, Octets: 1 << 16, Callers: 6, Links: 12})
+}
+
+func newRigWithin(t fatalist, b Bounds) *rig {
 	r := &rig{t: t, now: 17e12, calls: map[string]*heardOf{}, links: map[Conn]uint32{}, drained: map[uint32]bool{}, closed: map[Conn]string{}, silent: map[Conn]bool{}, deaf: map[Conn]bool{}, gone: map[string]bool{}}
-	r.a = New(settled(), Bounds{Calls: 50, Octets: 1 << 16, Callers: 6}, r, r.now,
+	r.a = New(settled(), b, r, r.now,
 		func(d policy.Deployment, x policy.Exchange, now policy.Tenths) exchange.Decider {
 			return policy.New(d, x, now)
 		})
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"indigodrift/internal/memnet"
@@ -442,3 +443,41 @@
 		t.Errorf("%d goroutines, %d before 200 callers came and went", now, before)
 	}
 }
+
+// The board is away, idle callers take every descriptor they can get and keep them: the platform's test, a caller with a call, the
+// switch and the board get theirs all the same, and the limit holds.
+func TestIdleCallersLeaveDescriptorsForAllOthersWhileTheBoardIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 64
+		b := &bench{t: t, net: memnet.New(), reload: make(chan Machine), ended: make(chan error, 1), boards: make(chan net.Conn, 10), sw: make(chan *siptest.Peer, 10)}
+		b.serve(limit)
+		var idle []*siptest.Peer
+		for range 3 * limit {
+			c := b.caller()
+			c.Say(sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: "1", CSeq: 1})
+			idle = append(idle, c)
+			time.Sleep(10 * time.Millisecond)
+		}
+		go accepts(b.listen("10.0.0.2:1"), func(c net.Conn) {
+			p := siptest.New(t, c)
+			p.Say(siptest.Group(20, 20))
+			b.sw <- p
+		})
+		sw := <-b.sw
+		go accepts(b.listen("board"), func(c net.Conn) { b.boards <- c })
+		<-b.boards
+		c := b.caller()
+		c.Say(sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: "1", CSeq: 1})
+		c.Want("200")
+		c.Say(setUp(id1, 1500))
+		sw.Stand(sw.Want(sip.Invite), "answer")
+		c.Want("200")
+		b.end()
+		for _, p := range idle {
+			p.Close()
+		}
+		if most := b.most; most+1 > limit-3 { // the listener; the standard streams
+			t.Errorf("%d connections at once with %d descriptors", most, limit)
+		}
+	})
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -45,6 +45,43 @@
 	boards chan net.Conn
 	sw     chan *siptest.Peer
 	lns    []net.Listener
+	held   int // connections that the controller holds, and the most at once
+	most   int
+}
+
+// counted is a connection of the controller that counts until it is closed.
+type counted struct {
+	net.Conn
+	b    *bench
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.b.count(-1) })
+	return c.Conn.Close()
+}
+func (c *counted) CloseWrite() error { return c.Conn.(*memnet.Conn).CloseWrite() }
+
+func (b *bench) count(by int) {
+	b.logMu.Lock()
+	defer b.logMu.Unlock()
+	b.held += by
+	b.most = max(b.most, b.held)
+}
+
+// countedListener counts what is accepted.
+type countedListener struct {
+	net.Listener
+	b *bench
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.b.count(1)
+	return &counted{Conn: c, b: l.b}, nil
 }
 
 func (b *bench) Write(p []byte) (int, error) {
@@ -68,29 +105,35 @@
 
 func start(t *testing.T, sockets int) *bench {
 	b := &bench{t: t, net: memnet.New(), reload: make(chan Machine), ended: make(chan error, 1), boards: make(chan net.Conn, 10), sw: make(chan *siptest.Peer, 10)}
-	var err error
-	if b.m, err = ParseMachine(fmt.Appendf(nil, configuration, sockets)); err != nil {
-		t.Fatal(err)
-	}
 	go accepts(b.listen("board"), func(c net.Conn) { b.boards <- c })
 	go accepts(b.listen("10.0.0.2:1"), func(c net.Conn) {
 		p := siptest.New(t, c)
 		p.Say(siptest.Group(20, 20))
 		b.sw <- p
 	})
+	b.serve(sockets)
+	return b
+}
+
+// serve starts the controller itself.
+func (b *bench) serve(sockets int) {
+	var err error
+	if b.m, err = ParseMachine(fmt.Appendf(nil, configuration, sockets)); err != nil {
+		b.t.Fatal(err)
+	}
 	s := New(b.m, module,
 		func(_ context.Context, address string) (net.Conn, error) {
 			c, err := b.net.Dial(address)
 			if err != nil {
 				return nil, errors.Join(err, syscall.ECONNREFUSED)
 			}
-			return c, nil
+			b.count(1)
+			return &counted{Conn: c, b: b}, nil
 		}, slog.New(slog.NewTextHandler(b, nil)))
 	var ctx context.Context
 	ctx, b.term = context.WithCancel(context.Background())
-	ln := b.listen(b.m.Listen)
+	ln := countedListener{b.listen(b.m.Listen), b}
 	go func() { b.ended <- s.Run(ctx, ln, b.reload) }()
-	return b
 }
 
 // serving starts a controller that knows the state of its group, with a switch and a caller.
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -29,10 +29,6 @@
 	// half a millisecond, and a caller who has gone must be known to have gone within 100 ms.
 	inboxMost = 128
 
-	// Of the descriptors callers may take three fifths: the platform's hold a third at most, the rest is room for others
-	// that connect. A reserve is kept for switches, the board and the files of the program.
-	callersOf, callersIn = 3, 5
-
 	octetsPart   = 8        // one part in so many of the memory may hold callers' descriptions
 	octetsACall  = 16 << 10 // and a call is reckoned to cost so much at the most, to bound their number
 	memoryOf     = 0.75     // of its limit, from where the collector works harder
@@ -64,7 +60,6 @@
 	callerSays
 	callerPart
 	callerBad
-	doorShut
 	dialled
 	switchDown
 	switchSays
@@ -101,6 +96,7 @@
 	cancel  context.CancelFunc
 	all     sync.WaitGroup
 	room    chan struct{} // one token for each connection of a caller
+	lines   chan struct{} // and for each to a switch, from its dial on
 	callers map[b2bua.Conn]*wire
 	links   map[b2bua.Conn]*wire
 	mu      sync.Mutex // names, open
@@ -120,13 +116,13 @@
 // New makes a call controller; build makes its module.
 func New(m Machine, build func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider, dial Dialer,
 	log *slog.Logger) *Station {
-	callers := m.Limits.Sockets * callersOf / callersIn
+	callers, links := b2bua.Descriptors(m.Limits.Sockets)
 	s := &Station{m: m, dial: dial, log: log, began: time.Now(), inbox: make(chan event, inboxMost),
-		stop: make(chan struct{}), room: make(chan struct{}, callers+8), callers: map[b2bua.Conn]*wire{},
+		stop: make(chan struct{}), room: make(chan struct{}, callers+b2bua.Closing), lines: make(chan struct{}, links+b2bua.Closing), callers: map[b2bua.Conn]*wire{},
 		links: map[b2bua.Conn]*wire{}, open: map[*wire]struct{}{}, boardAt: make(chan string, 1), shut: make(chan struct{})}
 	s.ending, s.cancel = context.WithCancel(context.Background())
 	memory := m.Limits.MemoryMB << 20
-	bounds := b2bua.Bounds{Calls: memory / octetsACall, Octets: memory / octetsPart, Callers: callers}
+	bounds := b2bua.Bounds{Calls: memory / octetsACall, Octets: memory / octetsPart, Callers: callers, Links: links}
 	if most := m.Settled.OpenMost; most > 0 {
 		bounds.Calls = min(bounds.Calls, most)
 	}
@@ -220,7 +216,9 @@
 	for {
 		select {
 		case e := <-s.inbox:
-			finish(e.w)
+			if finish(e.w); e.kind == dialled && e.w != nil { // nobody carries it
+				s.done(e.w)
+			}
 		case <-late:
 			close(s.stop)
 			s.mu.Lock()
@@ -345,7 +343,11 @@
 	case dialled:
 		if e.w != nil {
 			s.links[e.conn] = e.w
-			s.carry(e.w, s.readSwitch)
+			s.carry(e.w, func(w *wire) {
+				s.readSwitch(w)
+				w.c.Close()
+				<-s.lines
+			})
 		}
 		s.agent.Dialled(now, e.sw, e.ticket, e.conn, e.refused)
 	case switchDown:
@@ -399,6 +401,7 @@
 		}
 		s.carry(w, func(w *wire) {
 			s.readCaller(w)
+			w.c.Close()
 			<-s.room
 		})
 	}
@@ -524,6 +527,12 @@
 	if t := s.m.Settled.DialTime; t > 0 {
 		within = trunk.Span(t)
 	}
+	select {
+	case s.lines <- struct{}{}:
+	default: // many are being closed: their descriptors come free in a moment
+		s.all.Go(func() { s.post(event{kind: dialled, sw: sw, ticket: ticket}) })
+		return
+	}
 	s.all.Go(func() {
 		ctx, cancel := context.WithTimeout(s.ending, within)
 		defer cancel()
@@ -533,9 +542,13 @@
 			e.w = s.wire(c, switchMost)
 			e.conn = e.w.id
 		}
-		if !s.post(e) && e.w != nil {
+		posted := s.post(e)
+		if !posted && e.w != nil {
 			s.done(e.w)
 		}
+		if !posted || e.w == nil {
+			<-s.lines
+		}
 	})
 }
 
