The notice board: an address told during a dial is followed at once, lost boards are asked again spread

Suspicions checked by tests with real connections or virtual time: a reload while the old board was being dialled waited for that dial, up to 1 s of the 1.5 s until the old one closes; when a board broke off, all its followers asked again in the same instant, and the waits between later dials held no random part. Now the address ends a dial under way, and waits are drawn by the seed between half and the whole. Checked and found sound: events twice, a gap, a whole list that skips, silence that begins late.

--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"reflect"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,3 +238,112 @@
 		next.Close()
 	})
 }
+
+// The address changes while the old board is being dialled, which takes no new connection any more: the new one is asked at once.
+func TestAddressToldDuringADialIsFollowedAtOnce(t *testing.T) {
+	old, next := listenHere(t), listenHere(t)
+	defer old.Close()
+	defer next.Close()
+	dialling, moves := make(chan struct{}), make(chan string, 1)
+	got := make(chan Event, 1)
+	c := Client{Address: moves, Took: func(e Event) { got <- e }, Change: func(bool, error) {},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if address == old.Addr().String() { // never up
+				close(dialling)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return net.Dial("tcp", address)
+		}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { c.Keep(ctx, old.Addr().String(), 1); close(done) }()
+	<-dialling
+	told := time.Now()
+	moves <- next.Addr().String()
+	conn, err := next.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(told); took > dialMost/2 {
+		t.Errorf("asked after %v", took)
+	}
+	conn.Write(frame(t, 2))
+	if e := <-got; e.Number != 2 {
+		t.Errorf("came %+v", e)
+	}
+	cancel()
+	<-done
+	conn.Close()
+}
+
+func listenHere(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// A board breaks off for all its followers at once. They ask again spread over some time, each still well before its news are overdue.
+func TestFollowersOfABoardThatBreaksOffComeBackSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const followers = 48
+		n := memnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		var asked []time.Time
+		var all sync.WaitGroup
+		var conns []net.Conn
+		for seed := range uint64(followers) {
+			c := Client{Took: func(Event) {}, Change: func(bool, error) {}, Seed: seed,
+				Dial: func(_ context.Context, address string) (net.Conn, error) {
+					mu.Lock()
+					asked = append(asked, time.Now())
+					mu.Unlock()
+					return n.Dial(address)
+				}}
+			all.Go(func() { c.Keep(ctx, "board", 1) })
+		}
+		ln, err := n.Listen("board")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				conns = append(conns, c)
+				mu.Unlock()
+			}
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		mu.Lock()
+		asked = nil
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		began := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		mu.Lock()
+		for i, at := range asked {
+			if i >= 8 && at.Sub(asked[i-8]) < time.Millisecond {
+				t.Errorf("nine asked within %v", at.Sub(asked[i-8]))
+			}
+			if at.Sub(began) > 200*time.Millisecond {
+				t.Errorf("one asked after %v", at.Sub(began))
+			}
+		}
+		if len(asked) != followers {
+			t.Errorf("%d asked", len(asked))
+		}
+		mu.Unlock()
+		cancel()
+		all.Wait()
+		ln.Close()
+	})
+}
--- a/internal/board/client.go
+++ b/internal/board/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 )
@@ -28,53 +29,83 @@
 	Took    func(Event)              // each event once, in order
 	Change  func(up bool, why error) // the connection came up, or broke
 	Address <-chan string            // the board's address, whenever it is told anew
+	Seed    uint64                   // spreads the dials of many who lose the board at once
 	last    uint64
 }
 
 // Keep follows the board at an address, from the event after last.
 func (c *Client) Keep(ctx context.Context, address string, last uint64) {
 	c.last = last
+	chance := rand.New(rand.NewPCG(c.Seed, 0x12))
+	spread := func(span time.Duration) time.Duration { return span/2 + time.Duration(chance.Int64N(int64(span/2))) }
 	wait := retryAfter
 	for ctx.Err() == nil {
 		began := time.Now()
-		conn, err := c.open(ctx, address)
-		if err == nil {
+		conn, moved, err := c.open(ctx, address)
+		if conn != nil {
 			c.Change(true, nil)
-			address, err = c.follow(ctx, conn, address)
+			moved, err = c.follow(ctx, conn, address)
 		}
-		held := time.Since(began) > retryMost
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil { // another address was told
+		if moved != address {
+			address, wait = moved, retryAfter
 			continue
 		}
 		c.Change(false, err)
-		if conn != nil && held { // asked again at once: its news are overdue
-			wait = retryAfter
-			continue
+		pause := spread(wait)
+		if conn != nil && time.Since(began) > retryMost { // its news are overdue, but the board broke off for all who follow it
+			wait, pause = retryAfter, spread(retryAfter/2)
+		} else {
+			wait = min(2*wait, retryMost)
 		}
 		select {
 		case <-ctx.Done():
 		case address = <-c.Address:
-		case <-time.After(wait):
-			wait = min(2*wait, retryMost)
+			wait = retryAfter
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (c *Client) open(ctx context.Context, address string) (net.Conn, error) {
+// open connects to the board and asks. An address told meanwhile ends the attempt: the old board may take no connection any more,
+// and what the new one has to tell must not wait for that.
+func (c *Client) open(ctx context.Context, address string) (conn net.Conn, next string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, dialMost)
 	defer cancel()
-	conn, err := c.Dial(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
+	type dialled struct {
+		conn net.Conn
+		err  error
 	}
-	if _, err := conn.Write(AppendAsk(nil, c.last)); err != nil {
-		conn.Close()
-		return nil, fmt.Errorf("ask %s: %w", address, err)
+	up := make(chan dialled, 1)
+	go func() {
+		conn, err := c.Dial(ctx, address)
+		up <- dialled{conn, err}
+	}()
+	for {
+		select {
+		case next := <-c.Address:
+			if next == address {
+				continue
+			}
+			go func() {
+				if d := <-up; d.conn != nil {
+					d.conn.Close()
+				}
+			}()
+			return nil, next, nil
+		case d := <-up:
+			if d.err != nil {
+				return nil, address, fmt.Errorf("dial %s: %w", address, d.err)
+			}
+			if _, err := d.conn.Write(AppendAsk(nil, c.last)); err != nil {
+				d.conn.Close()
+				return nil, address, fmt.Errorf("ask %s: %w", address, err)
+			}
+			return d.conn, address, nil
+		}
 	}
-	return conn, nil
 }
 
 // arrival is what came of one read.
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -180,7 +180,7 @@
 		close(s.shut)
 	})
 	s.all.Go(func() {
-		c := board.Client{Dial: s.dial, Address: s.boardAt,
+		c := board.Client{Dial: s.dial, Address: s.boardAt, Seed: s.m.Settled.Module.Seed,
 			Took:   func(e board.Event) { s.post(event{kind: noticed, notice: e}) },
 			Change: func(up bool, err error) { s.post(event{kind: boardChange, up: up, err: err}) }}
 		c.Keep(s.ending, s.m.Board, s.known)
