Settings of other customers: counts with a point are read, bad ones named by place, absent ones have a default

Seen by tests: a count written 4.0 or 2e4 ended the start; an absent max_attempts served nobody; a negative or absurd span, a class named twice or a limit out of range was taken and went wrong later. Now each is refused in one line with its place, and what may be absent has the default that Read tells.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 
 	"indigodrift/policy"
 )
@@ -21,6 +22,22 @@
 	StreamsMost int           // route tries that one connection carries at once, 0 when not told
 }
 
+// whole is a whole number, perhaps written with a point or an exponent.
+type whole int
+
+// UnmarshalJSON reads a number that is whole and can be a count.
+func (w *whole) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" { // as if absent
+		return nil
+	}
+	v, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || v != math.Trunc(v) || math.Abs(v) > countMost {
+		return fmt.Errorf("%.40s is no whole number that could be meant", text)
+	}
+	*w = whole(v)
+	return nil
+}
+
 // object holds the keys that are read; all others are ignored.
 type object struct {
 	Grades []struct {
@@ -29,24 +46,24 @@
 		LateWorth            float64 `json:"late_worth"`
 	}
 	Discovery  string
-	Replicas   int `json:"replicas_of_me"`
+	Replicas   whole `json:"replicas_of_me"`
 	FamilyInfo struct {
-		ClassCells   [][]int `json:"class_cells"`
+		ClassCells   [][]whole `json:"class_cells"`
 		Holding      []float64
 		ReleaseGuard float64 `json:"release_guard"`
 		Retransmit   float64
-		SelfNo       *int `json:"self_no"`
+		SelfNo       *whole `json:"self_no"`
 		Shape        string
 	} `json:"family_info"`
 	LoadReport struct{ Names []string } `json:"load_report"`
 	Limits     struct {
 		Cancel         bool
 		DialTimeout    float64 `json:"dial_timeout"`
-		MaxAttempts    int     `json:"max_attempts"`
-		MaxOpen        int     `json:"max_open"`
+		MaxAttempts    whole   `json:"max_attempts"`
+		MaxOpen        whole   `json:"max_open"`
 		RetryAfter     bool    `json:"retry_after"`
 		MaxRetryAfter  float64 `json:"max_retry_after"`
-		StreamsPerConn int     `json:"streams_per_conn"`
+		StreamsPerConn whole   `json:"streams_per_conn"`
 	} `json:"policy_limits"`
 	Rules struct {
 		ColdFrom          float64 `json:"cold_from"`
@@ -58,35 +75,93 @@
 	}
 }
 
-// Read reads a settings object. The seed is not part of it.
+const (
+	countMost = 1 << 31
+	spanMost  = 1e12 // ms, thirty years: a span that long can be no mistake of ours in counting
+)
+
+// ErrSettings tells that a settings object cannot be served.
+var ErrSettings = errors.New("settings")
+
+// check tells the first place at which the settings cannot be served, and why.
+func (o *object) check() error {
+	if len(o.Grades) == 0 {
+		return fmt.Errorf("%w: grades: no class of calls is named", ErrSettings)
+	}
+	type bounded struct {
+		place       string
+		v           float64
+		least, most float64
+	}
+	l, r, f := o.Limits, o.Rules, o.FamilyInfo
+	all := []bounded{{"policy_limits.dial_timeout", l.DialTimeout, 0, spanMost}, {"policy_limits.max_attempts", float64(l.MaxAttempts), 0, countMost},
+		{"policy_limits.max_open", float64(l.MaxOpen), 0, countMost}, {"policy_limits.max_retry_after", l.MaxRetryAfter, 0, spanMost},
+		{"policy_limits.streams_per_conn", float64(l.StreamsPerConn), 0, countMost}, {"replicas_of_me", float64(o.Replicas), 0, countMost},
+		{"rules.cold_from", r.ColdFrom, 0, 1}, {"rules.ramp_time", r.RampTime, 0, spanMost}, {"rules.stop_sending_within", r.StopSendingWithin, 0, spanMost},
+		{"rules.tip_after", r.TipAfter, 0, spanMost}, {"rules.tip_multiple", r.TipMultiple, 0, countMost}, {"rules.ask_within", r.AskWithin, 0, spanMost},
+		{"family_info.release_guard", f.ReleaseGuard, 0, spanMost}, {"family_info.retransmit", f.Retransmit, 0, spanMost}}
+	for i, h := range f.Holding {
+		all = append(all, bounded{fmt.Sprintf("family_info.holding[%d]", i), h, 0, spanMost})
+	}
+	named := map[string]bool{}
+	for i, g := range o.Grades {
+		place := fmt.Sprintf("grades[%d].", i)
+		if g.Name != "" && named[g.Name] {
+			return fmt.Errorf("%w: %sname: %q is named twice", ErrSettings, place, g.Name)
+		}
+		named[g.Name] = true
+		all = append(all, bounded{place + "aim", g.Aim, spanLeast, spanMost}, bounded{place + "deadline", g.Deadline, spanLeast, spanMost},
+			bounded{place + "worth", g.Worth, 0, countMost}, bounded{place + "late_worth", g.LateWorth, 0, countMost})
+	}
+	for _, b := range all {
+		if !(b.v >= b.least && b.v <= b.most) {
+			return fmt.Errorf("%w: %s: %g is not between %g and %g", ErrSettings, b.place, b.v, b.least, b.most)
+		}
+	}
+	return nil
+}
+
+const spanLeast = 0.1 // ms, the least that is counted
+
+// Read reads a settings object. The seed is not part of it. What may be absent: max_attempts, then tries are bounded by time alone;
+// tip_multiple, tip_after and ramp_time, then no switch is taken as cold; replicas_of_me, then one call controller is reckoned with;
+// dial_timeout, max_open and streams_per_conn, then the doors' own bounds hold; all others count as 0 or false.
 func Read(text []byte) (Settled, error) {
 	var o object
 	if err := json.Unmarshal(text, &o); err != nil {
-		return Settled{}, fmt.Errorf("settings do not parse: %w", err)
+		return Settled{}, fmt.Errorf("%w do not parse: %w", ErrSettings, err)
 	}
-	if len(o.Grades) == 0 {
-		return Settled{}, errors.New("settings name no bearer type")
+	if err := o.check(); err != nil {
+		return Settled{}, err
 	}
 	d := policy.Deployment{
-		Own: -1, Pools: o.FamilyInfo.Shape == "pools", Controllers: o.Replicas,
-		MaxTries: o.Limits.MaxAttempts, ReleaseTime: spanUp(o.FamilyInfo.ReleaseGuard),
+		Own: -1, Pools: o.FamilyInfo.Shape == "pools", Controllers: int(o.Replicas),
+		MaxTries: int(o.Limits.MaxAttempts), ReleaseTime: spanUp(o.FamilyInfo.ReleaseGuard),
 		Resend: spanUp(o.FamilyInfo.Retransmit), DrainGrace: spanUp(o.Rules.StopSendingWithin),
 		ColdFrom: o.Rules.ColdFrom, RampTime: spanUp(o.Rules.RampTime), FallMultiple: o.Rules.TipMultiple,
 		FallWindow: spanUp(o.Rules.TipAfter), ListAsked: o.Discovery == "subscribe",
 		AskWithin: spanUp(o.Rules.AskWithin), CancelsAllowed: o.Limits.Cancel,
 	}
+	if d.MaxTries == 0 {
+		d.MaxTries = countMost
+	}
+	if d.FallMultiple == 0 || d.FallWindow == 0 {
+		d.RampTime = 0
+	}
 	if o.FamilyInfo.SelfNo != nil {
-		d.Own = *o.FamilyInfo.SelfNo
+		d.Own = int(*o.FamilyInfo.SelfNo)
 	}
 	if o.Limits.RetryAfter {
 		d.ComeBackMost = spanUp(o.Limits.MaxRetryAfter)
 	}
 	s := Settled{Reported: o.LoadReport.Names, DialTime: spanUp(o.Limits.DialTimeout),
-		OpenMost: o.Limits.MaxOpen, StreamsMost: o.Limits.StreamsPerConn}
+		OpenMost: int(o.Limits.MaxOpen), StreamsMost: int(o.Limits.StreamsPerConn)}
 	for i, g := range o.Grades {
 		b := policy.Bearer{Revenue: g.Worth, LateShare: g.LateWorth, GoSTarget: spanUp(g.Aim), Abandon: spanUp(g.Deadline)}
 		if i < len(o.FamilyInfo.ClassCells) {
-			b.Pools = o.FamilyInfo.ClassCells[i]
+			for _, c := range o.FamilyInfo.ClassCells[i] {
+				b.Pools = append(b.Pools, int(c))
+			}
 		}
 		if i < len(o.FamilyInfo.Holding) {
 			b.Holding = spanUp(o.FamilyInfo.Holding[i])
--- a/internal/platform/machine.go
+++ b/internal/platform/machine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 
 	"indigodrift/internal/board"
@@ -14,7 +15,7 @@
 // Limits are what the platform gives one call controller.
 type Limits struct {
 	Cores    float64
-	MemoryMB int `json:"memory_mb"`
+	MemoryMB int
 	Sockets  int // file descriptors
 }
 
@@ -32,6 +33,7 @@
 const (
 	socketsLeast = 64
 	memoryLeast  = 16
+	limitMost    = 1 << 24
 )
 
 // ReadMachine reads the platform's configuration file.
@@ -51,24 +53,33 @@
 func ParseMachine(text []byte) (Machine, error) {
 	var f struct {
 		Name, Listen, Seed, Board string
-		Limits                    Limits
-		Known                     json.RawMessage
-		Settings                  json.RawMessage
+		Limits                    struct {
+			Cores, Sockets float64
+			MemoryMB       float64 `json:"memory_mb"`
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Machine{}, fmt.Errorf("%w: %w", ErrMachine, err)
 	}
-	m := Machine{Name: f.Name, Listen: f.Listen, Board: f.Board, Limits: f.Limits}
+	m := Machine{Name: f.Name, Listen: f.Listen, Board: f.Board}
 	switch {
 	case f.Listen == "" || f.Board == "":
 		return m, fmt.Errorf("%w: listen %q, board %q", ErrMachine, f.Listen, f.Board)
-	case f.Limits.Sockets < socketsLeast || f.Limits.MemoryMB < memoryLeast:
-		return m, fmt.Errorf("%w: %d sockets and %d MB are too few", ErrMachine, f.Limits.Sockets, f.Limits.MemoryMB)
+	case !(f.Limits.Sockets >= socketsLeast && f.Limits.Sockets <= limitMost):
+		return m, fmt.Errorf("%w: limits.sockets: %g is not between %d and %d", ErrMachine, f.Limits.Sockets, socketsLeast, limitMost)
+	case !(f.Limits.MemoryMB >= memoryLeast && f.Limits.MemoryMB <= limitMost):
+		return m, fmt.Errorf("%w: limits.memory_mb: %g is not between %d and %d", ErrMachine, f.Limits.MemoryMB, memoryLeast, limitMost)
 	}
+	m.Limits = Limits{Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets)}
 	var err error
 	if m.Settled, err = deployment.Read(f.Settings); err != nil {
 		return m, fmt.Errorf("%w: %w", ErrMachine, err)
 	}
+	if i := slices.Index(m.Settled.Bearers, ""); i >= 0 { // set-ups name their class
+		return m, fmt.Errorf("%w: settings: grades[%d].name is empty", ErrMachine, i)
+	}
 	if m.Settled.Module.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return m, fmt.Errorf("%w: seed: %w", ErrMachine, err)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -344,6 +344,15 @@
 			t.Errorf("without %s: %v", cut, err)
 		}
 	}
+	for was, place := range map[string]string{`"sockets":256`: `"sockets":3`, `"memory_mb":64`: `"memory_mb":1e30`, `"name":"voice"`: `"name":""`, `"aim":300.0`: `"aim":-1`} {
+		_, err := ParseMachine([]byte(strings.Replace(good, was, place, 1)))
+		if key := strings.Split(place, `"`)[1]; !errors.Is(err, ErrMachine) || !strings.Contains(err.Error(), key) {
+			t.Errorf("with %s: %v", place, err)
+		}
+	}
+	if m, err := ParseMachine([]byte(strings.NewReplacer(`"sockets":256`, `"sockets":256.0,"more":[]`, `"memory_mb":64`, `"memory_mb":64.5`).Replace(good))); err != nil || m.Limits.Sockets != 256 || m.Limits.MemoryMB != 64 {
+		t.Errorf("%+v %v", m.Limits, err)
+	}
 	if _, err := ReadMachine("no such file"); !errors.Is(err, ErrMachine) {
 		t.Error(err)
 	}
