--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -24,7 +24,8 @@
 	wholeAt policy.Tenths // last whole message, 0 when none came yet
 	partAt  policy.Tenths // since when a message lies half read, 0 when none does
 	calls   int           // set-ups open on it
-	proved  bool          // a set-up that could be read came on it
+	asked   bool          // a set-up that could be read came on it
+	proved  bool          // an ACK to an answer came on it: who sends that hears releases too
 	deaf    bool          // a release written on it was not answered in time
 	byes    []*call       // whose releases were written on it and are not answered yet
 }
@@ -44,22 +45,30 @@
 	}
 }
 
-// pick chooses the connection for a release: the call's own, else one on which set-ups came, the latest first; nil when there is
-// none that hears.
+// pick chooses the connection for a release: the call's own, else one that is proved, else one on which set-ups came, the latest
+// first; nil when there is none that hears. Set-ups prove little: bad clients send well-formed ones, and read no release.
 func (d *door) pick(own Conn) *callerConn {
 	if o := d.conns[own]; o != nil && !o.deaf {
 		return o
 	}
+	var asked *callerConn
 	for _, c := range slices.Backward(d.order) {
-		if o := d.conns[c]; o != nil && o.proved && !o.deaf {
+		o := d.conns[c]
+		if o == nil || o.deaf {
+			continue
+		}
+		if o.proved {
 			return o
 		}
+		if asked == nil && o.asked {
+			asked = o
+		}
 	}
-	return nil
+	return asked
 }
 
 // over tells which connection must go where one more would be too many: one that said nothing whole yet, the oldest of
-// them, else the one without an open set-up that has been quiet longest, else none.
+// them, else, of those without an open set-up, the one that has been quiet longest, proved ones last; else none.
 func (d *door) over() Conn {
 	var idle *callerConn
 	for _, c := range d.order {
@@ -67,7 +76,10 @@
 		if o.wholeAt == 0 {
 			return c
 		}
-		if o.calls == 0 && (idle == nil || o.wholeAt < idle.wholeAt) {
+		if o.calls > 0 {
+			continue
+		}
+		if idle == nil || idle.proved && !o.proved || idle.proved == o.proved && o.wholeAt < idle.wholeAt {
 			idle = o
 		}
 	}
@@ -217,6 +229,9 @@
 	case m.Method == sip.Bye:
 		a.callerReleases(c, m)
 	case m.Method == sip.Ack:
+		if id, err := readID(m.CallID); err == nil && a.calls[id] != nil && a.calls[id].caller == c {
+			a.proves(o)
+		}
 	case m.Method == sip.Options:
 		passed := m.Answer(sip.OK)
 		a.out.Write(c, &passed)
@@ -248,7 +263,7 @@
 		a.refuseMessage(o.conn, m, sip.BadRequest, "a second set-up under one id")
 		return
 	}
-	a.proves(o)
+	a.asks(o)
 	k := &call{id: in.id, caller: o.conn, callID: m.CallID, uri: m.URI, class: m.Get(fieldClass), cseq: m.CSeq, body: m.Body,
 		leavesAt: readAt + in.ask.TTL - handBack}
 	if a.out.Left(k.caller, k.callID) { // its CANCEL, or the end of its connection, comes after it
@@ -278,9 +293,9 @@
 	a.decide.Offer(a.now, in.ask)
 }
 
-// proves marks a connection as one of a caller that speaks the protocol; releases that found none go there.
-func (a *Agent) proves(o *callerConn) {
-	o.proved = true
+// asks marks a connection on which a set-up came; releases that found none go there.
+func (a *Agent) asks(o *callerConn) {
+	o.asked = true
 	owed := a.owed
 	a.owed = nil
 	for _, k := range owed {
@@ -288,9 +303,27 @@
 	}
 }
 
+// proves marks a connection whose far end hears. Releases that wait for an answer of one that may not hear go there at once.
+func (a *Agent) proves(o *callerConn) {
+	if o.proved {
+		return
+	}
+	o.proved = true
+	a.asks(o)
+	for _, c := range a.door.order {
+		if other := a.door.conns[c]; !other.proved {
+			for _, k := range slices.Clone(other.byes) {
+				if k.caller != c {
+					a.sayAgain(k)
+				}
+			}
+		}
+	}
+}
+
 // adopt takes a set-up that names a call standing at a switch already: it is known from now on, and nothing is answered.
 func (a *Agent) adopt(o *callerConn, in offer, m *sip.Message) {
-	a.proves(o)
+	a.asks(o)
 	if k := a.calls[in.id]; k != nil {
 		if k.state == Over { // it may not have heard so
 			k.ended = false
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -12,7 +12,8 @@
 	// heardWithin is how long a caller may take to answer a BYE. The platform wants a release told within 1 s of its coming, so
 	// one that is not answered goes again on another connection while there is time.
 	heardWithin = policy.Tenths(3000)
-	byesMost    = 4 // BYEs to the caller of one call
+	byesMost    = 4 // BYEs to the caller of one call, one after the other
+	byesAll     = 8 // and all in all, as connections open or prove
 
 	// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read.
 	// Switches need not answer a BYE.
@@ -38,11 +39,7 @@
 func (a *Agent) sayOver(k *call) {
 	o := a.door.pick(k.caller)
 	if o == nil {
-		if len(a.owed) < owedMost {
-			a.owed = append(a.owed, k)
-		} else {
-			a.out.Note("too many releases wait for a caller's connection; one is dropped")
-		}
+		a.oweCaller(k)
 		return
 	}
 	k.byes++
@@ -52,6 +49,15 @@
 	a.out.Write(o.conn, a.bye(k.callID, k.uri, k.owedWhy))
 }
 
+// oweCaller keeps a release until a caller's connection opens or proves to hear.
+func (a *Agent) oweCaller(k *call) {
+	if len(a.owed) < owedMost {
+		a.owed = append(a.owed, k)
+	} else {
+		a.out.Note("too many releases wait for a caller's connection; one is dropped")
+	}
+}
+
 // heard notes that a call's caller knows that it is over: it answered, or released the call itself.
 func (a *Agent) heard(k *call) {
 	if o := a.door.conns[k.byeOn]; o != nil {
@@ -61,12 +67,15 @@
 	a.owed = slices.DeleteFunc(a.owed, func(other *call) bool { return other == k })
 }
 
-// sayAgain writes a release anew that was not answered.
+// sayAgain writes a release anew that was not answered. One that went out often enough waits until a connection opens or proves.
 func (a *Agent) sayAgain(k *call) {
 	a.heard(k)
-	if k.byes < byesMost {
+	switch {
+	case k.byes < byesMost:
 		a.sayOver(k)
-	} else {
+	case k.byes < byesAll:
+		a.oweCaller(k)
+	default:
 		a.out.Note("no caller answers the release of " + k.callID)
 	}
 }
--- a/internal/b2bua/rig_test.go
+++ b/internal/b2bua/rig_test.go
@@ -79,6 +79,7 @@
 	silent  map[Conn]bool   // the far end of these says nothing any more
 	asked   []written       // signs of life asked for
 	byes    []written       // releases that callers have not answered yet
+	finals  []written       // and answers that they have not acknowledged
 	gone    map[string]bool // ids whose callers have left, though the agent was not told yet
 	deaf    map[Conn]bool   // callers on these answer no release
 }
@@ -139,8 +140,15 @@
 	r.hear()
 }
 
-// hear has callers answer the releases that came to them.
+// hear has callers answer the releases, and acknowledge the answers, that came to them.
 func (r *rig) hear() {
+	for len(r.finals) > 0 {
+		w := r.finals[0]
+		r.finals = r.finals[1:]
+		if slices.Contains(r.callers, w.to) && !r.deaf[w.to] {
+			r.a.FromCaller(r.now, r.now, w.to, &sip.Message{Method: sip.Ack, URI: "sip:x@net", CallID: w.m.CallID, CSeq: w.m.CSeq})
+		}
+	}
 	for len(r.byes) > 0 {
 		w := r.byes[0]
 		r.byes = r.byes[1:]
@@ -238,6 +246,7 @@
 	k := &heardOf{id: id, on: c, deadline: r.now + policy.Tenths(expiresMS)*10, body: "offer of " + id}
 	r.calls[id], r.order = k, append(r.order, id)
 	r.a.FromCaller(r.now, r.now, c, invite(id, "voice", expiresMS, fmt.Sprintf("dest:%d;width:1;via:-1", dest), k.body))
+	r.hear()
 	return k
 }
 
@@ -256,6 +265,7 @@
 		k.notBefore = r.now + releaseTime
 	}
 	r.a.FromSwitch(r.now, on, m)
+	r.hear()
 }
 
 func (r *rig) bye(id string, cause int) *sip.Message {
@@ -269,6 +279,9 @@
 	if m.Method == sip.Options {
 		r.asked = append(r.asked, written{to, *m})
 	}
+	if _, link := r.links[to]; !link && m.CSeqMethod == sip.Invite && m.Status >= 200 {
+		r.finals = append(r.finals, written{to, *m})
+	}
 	k := r.calls[m.CallID]
 	if k == nil {
 		return
