--- a/cmd/indigodrift/platform_test.go
+++ b/cmd/indigodrift/platform_test.go
@@ -86,6 +86,7 @@
 	asked    chan uint64   // numbers that the controller asked the board from
 	boards   chan net.Conn // and the connections on which it did
 	log      *lines
+	file     string // the configuration
 }
 
 func newPlatformNet(t *testing.T) *platformNet {
@@ -127,7 +128,7 @@
 "policy_limits":{"cancel":true,"dial_timeout":500.0,"max_attempts":4,"retry_after":true,"max_retry_after":2000.0}}}`,
 		n.listen, n.board.Addr(), rev, known))
 	c := onPlatformProgram(file)
-	n.log = &lines{}
+	n.log, n.file = &lines{}, file
 	c.Stderr = n.log
 	if err := c.Start(); err != nil {
 		n.t.Fatal(err)
@@ -267,3 +268,74 @@
 		t.Error(log)
 	}
 }
+
+// SIGTERM comes while the configuration is still being read: its file is a pipe that the program has opened and nobody has written to.
+func TestPlatformIsToldToEndWhileItStarts(t *testing.T) {
+	file := t.TempDir() + "/config.json"
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, log := onPlatformProgram(file), &lines{}
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0) // waits for the reader
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(pipe, `{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":64,"sockets":256},"board":"127.0.0.1:1",
+"known":{"rev":0,"notices":[]},"settings":{"grades":[{"name":"voice","aim":10,"deadline":100,"worth":1}]}}`)
+	pipe.Close()
+	if err := c.Wait(); err != nil || !strings.Contains(log.String(), "unanswered=0") {
+		t.Error(err, log)
+	}
+}
+
+// A new configuration, a drain on its heels, both once more, and the board of old away: the new one is asked, what is taken meanwhile is
+// answered, and the end is a planned one.
+func TestPlatformReloadsAndDrainsAtOnce(t *testing.T) {
+	n := newPlatformNet(t)
+	next, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	process := n.start(1, fmt.Sprintf(`{"rev":1,"pool":{"reset":true,"instances":[{"cell":1,"hostPort":%q,"instanceId":"s-000000a1","lifecycle":"in_service"}]}}`, n.switches[0].Addr()))
+	sw := n.up(0)
+	(<-n.boards).Close()
+	n.board.Close()
+	text, err := os.ReadFile(n.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(n.file, []byte(strings.Replace(string(text), n.board.Addr().String(), next.Addr().String(), 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := n.caller()
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
+		process.Process.Signal(s)
+	}
+	asked, err := next.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer asked.Close()
+	n.log.wait(t, "draining")
+	for _, id := range []string{"00000000000000a1", "00000000000000a2"} {
+		c.Say(platformSetUp(id, 1, ""))
+		m := sw.Want(sip.Invite)
+		sw.Stand(m, "answer")
+		sw.Want(sip.Ack)
+		c.Want("200")
+	}
+	c.Say(platformSetUp("00000000000000a3", 1, "")) // never answered by the switch
+	if m, ok := c.Next(4 * time.Second); !ok || m.Status < 400 || m.CallID != "00000000000000a3" {
+		t.Errorf("the caller heard %v %+v", ok, m)
+	}
+	if err := process.Wait(); err != nil || strings.Count(n.log.String(), "draining") != 1 {
+		t.Error(err, n.log)
+	}
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -455,6 +455,7 @@
 		for range 3 * limit {
 			c := b.caller()
 			c.Say(sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: "1", CSeq: 1})
+			c.Want("200") // ready, though neither the board nor the switch is there
 			idle = append(idle, c)
 			time.Sleep(10 * time.Millisecond)
 		}
