Log what becomes of each release, and why connections and messages are refused or closed

Change: typed records of calls, releases and connections with ids, copies, age and reason; counts in the summary; INDIGODRIFT_LOG=debug shows every state transition. Lines of one kind are bounded between two summaries. No behaviour changes.

--- a/cmd/indigodrift/platform.go
+++ b/cmd/indigodrift/platform.go
@@ -21,6 +21,7 @@
 	envConfig = "GW_CONFIG"
 	envName   = "GW_NAME"
 	envListen = "GW_LISTEN"
+	envLog    = "INDIGODRIFT_LOG" // the least level that is logged: debug, info, warn or error; info where it is not set
 )
 
 func platformCommand() *cobra.Command {
@@ -33,7 +34,13 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level := slog.LevelInfo
+	if text := os.Getenv(envLog); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return fmt.Errorf("%s: %w", envLog, err)
+		}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	file := os.Getenv(envConfig)
 	m, err := platform.ReadMachine(file)
 	if err != nil {
--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -48,6 +48,7 @@
 	Dial(sw, ticket uint32, address string)
 	Left(caller Conn, callID string) bool // its connection has ended, or it has cancelled: the message of it is on its way here
 	Note(text string)
+	Record(Record)
 }
 
 // State of a call. become is the one place that changes it.
@@ -152,6 +153,7 @@
 	houseAt  policy.Tenths
 	later    []report
 	tally    Tally
+	releases Releases
 	lateness policy.Tenths // greatest of a timer since it was last asked for
 }
 
@@ -257,6 +259,7 @@
 	case k.state == Standing:
 		a.standing--
 	}
+	a.out.Record(Record{Kind: CallState, CallID: k.callID, Conn: k.caller, Switch: k.far, From: k.state, To: s})
 	if k.state = s; s == Over {
 		delete(a.byHandle, k.handle)
 		a.remember(k)
@@ -493,6 +496,8 @@
 	k, why, rep := a.calls[id], cause(m), readLoad(m)
 	switch {
 	case k == nil: // it stood before this process started: its caller must hear of it all the same
+		a.releases.Unknown++
+		a.out.Record(Record{Kind: ReleaseUnknown, CallID: m.CallID, Switch: f.entry.ID, Cause: why})
 		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
 		a.remember(k)
 		a.releaseCaller(k, why)
@@ -506,6 +511,8 @@
 	case k.state == Trying && k.far == f.entry.ID && k.link != 0:
 		a.offLink(k)
 		a.endTry(k.handle, policy.Cut)
+	default:
+		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Switch: f.entry.ID, To: k.state, Cause: why})
 	}
 }
 
@@ -557,6 +564,18 @@
 	return all
 }
 
+// Releases tells what became of releases towards callers.
+func (a *Agent) Releases() Releases {
+	r := a.releases
+	for _, k := range a.over {
+		if k.byeOn != 0 || slices.Contains(a.owed, k) {
+			r.Waiting++
+			r.Oldest = max(r.Oldest, a.now-k.overAt)
+		}
+	}
+	return r
+}
+
 // Counts tells calls open, standing and remembered, callers' connections, and the greatest lateness of a timer since the
 // last time.
 func (a *Agent) Counts() (t Tally, open, standing, kept, callers int, late policy.Tenths) {
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -1,6 +1,7 @@
 package b2bua
 
 import (
+	"fmt"
 	"slices"
 
 	"indigodrift/internal/sip"
@@ -67,6 +68,17 @@
 	return asked
 }
 
+// whyNone tells why no connection is chosen for a release.
+func (d *door) whyNone() string {
+	deaf := 0
+	for _, o := range d.conns {
+		if o.deaf {
+			deaf++
+		}
+	}
+	return fmt.Sprintf("%d connections open, %d of them answered no release", len(d.conns), deaf)
+}
+
 // over tells which connection must go where one more would be too many: one that said nothing whole yet, the oldest of
 // them, else, of those without an open set-up, the one that has been quiet longest, proved ones last; else none.
 func (d *door) over() Conn {
@@ -131,6 +143,9 @@
 	if i := slices.Index(a.door.order, c); i >= 0 {
 		a.door.order = slices.Delete(a.door.order, i, i+1)
 	}
+	if o.calls > 0 || len(o.byes) > 0 {
+		a.out.Record(Record{Kind: CallerDown, Conn: c, Why: fmt.Sprintf("%d set-ups and %d releases open on it", o.calls, len(o.byes))})
+	}
 	if o.calls > 0 {
 		for _, k := range a.inOrder(func(k *call) bool { return k.caller == c && (k.state == Offered || k.state == Trying) }) {
 			a.left(k)
@@ -218,6 +233,13 @@
 	switch {
 	case m.Status != 0 && m.CSeqMethod == sip.Bye:
 		if id, err := readID(m.CallID); err == nil && a.calls[id] != nil {
+			if k := a.calls[id]; k.byeOn != 0 {
+				a.releases.Confirmed++
+				if waited := a.now - k.overAt; waited > tellWithin {
+					a.releases.Late++
+					a.out.Record(Record{Kind: ReleaseLate, CallID: k.callID, Conn: c, Switch: k.far, Copies: k.byes, Waited: waited})
+				}
+			}
 			o.deaf = false
 			a.heard(a.calls[id])
 		}
@@ -243,7 +265,7 @@
 
 func (a *Agent) refuseMessage(c Conn, m *sip.Message, status int, why string) {
 	a.tally.Refused++
-	a.out.Note("a caller's message is refused: " + why)
+	a.out.Record(Record{Kind: SetUpRefused, CallID: m.CallID, Conn: c, Why: why})
 	refusal := m.Answer(status)
 	a.out.Write(c, &refusal)
 }
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -251,7 +251,9 @@
 			a.dial(f)
 		}
 	}
-	for _, k := range a.inOrder(func(k *call) bool { return k.state == Trying && k.link == c }) {
+	cut := a.inOrder(func(k *call) bool { return k.state == Trying && k.link == c })
+	a.out.Record(Record{Kind: SwitchDown, Conn: c, Switch: sw, Why: fmt.Sprintf("%d set-ups open on it", len(cut))})
+	for _, k := range cut {
 		a.endTry(k.handle, policy.Cut)
 	}
 	a.settle()
@@ -305,6 +307,7 @@
 				a.dropLinks(f, "no sign of life", func(o *link) bool { return o == l })
 			case l.askedAt == 0 && quiet > most:
 				l.askedAt = a.now
+				a.out.Record(Record{Kind: SwitchSuspect, Conn: l.conn, Switch: id, Waited: quiet, Why: fmt.Sprintf("%d set-ups open on it", l.tries)})
 				a.test(l)
 			}
 		}
--- /dev/null
+++ b/internal/b2bua/record.go
@@ -0,0 +1,60 @@
+package b2bua
+
+import "indigodrift/policy"
+
+// RecordKind names what a Record tells.
+type RecordKind uint8
+
+// The kinds of records. All but CallState and ReleaseWritten tell of something unusual.
+const (
+	CallState         RecordKind = iota // a call changed its state
+	SetUpRefused                        // a message of a caller was refused
+	ReleaseWritten                      // a release was written to a caller
+	ReleaseRepeated                     // and again, on another connection
+	ReleaseWaits                        // no caller's connection can take a release now
+	ReleaseUnanswered                   // a caller did not answer a release in time
+	ReleaseLate                         // a release was confirmed later than the platform allows
+	ReleaseDropped                      // a release is given up
+	ReleaseUnknown                      // a switch released a call that is not known here
+	ReleaseIgnored                      // a switch released a call that does not stand there
+	SwitchSuspect                       // a connection to a switch owes a sign of life
+	SwitchDown                          // a connection to a switch ended
+	CallerDown                          // a caller's connection ended with set-ups or releases open on it
+)
+
+var recordNames = [...]string{"call state", "a caller's message is refused", "release written", "release repeated", "release waits",
+	"release unanswered", "release late", "release dropped", "release of an unknown call", "release ignored", "switch connection suspect",
+	"switch connection ended", "caller connection ended"}
+
+func (k RecordKind) String() string { return recordNames[k] }
+
+// Record is one entry of the log of calls and connections. Fields that do not apply are zero.
+type Record struct {
+	Kind   RecordKind
+	CallID string
+	Conn   Conn
+	Switch uint32
+	From   State // of CallState, as To
+	To     State
+	Cause  int           // Q.850
+	Copies int           // how often a release was written
+	Waited policy.Tenths // since the release or the last sign of life came
+	Why    string
+}
+
+var stateNames = [...]string{Offered: "offered", Trying: "trying", Standing: "standing", Over: "over"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Releases counts what became of releases towards callers since the start.
+type Releases struct {
+	Written    uint64 // first copies
+	Repeated   uint64 // further copies
+	Unanswered uint64 // copies that were not answered in time
+	Confirmed  uint64
+	Late       uint64 // confirmed later than the platform allows
+	Dropped    uint64
+	Unknown    uint64        // of calls that were not known here
+	Waiting    int           // not confirmed now
+	Oldest     policy.Tenths // how long the oldest of these has waited
+}
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -12,8 +12,9 @@
 	// heardWithin is how long a caller may take to answer a BYE. The platform wants a release told within 1 s of its coming, so
 	// one that is not answered goes again on another connection while there is time.
 	heardWithin = policy.Tenths(3000)
-	byesMost    = 4 // BYEs to the caller of one call, one after the other
-	byesAll     = 8 // and all in all, as connections open or prove
+	tellWithin  = policy.Tenths(10000) // what the platform allows from a switch's release to the caller's
+	byesMost    = 4                    // BYEs to the caller of one call, one after the other
+	byesAll     = 8                    // and all in all, as connections open or prove
 
 	// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read.
 	// Switches need not answer a BYE.
@@ -43,6 +44,14 @@
 		return
 	}
 	k.byes++
+	kind := ReleaseWritten
+	if k.byes == 1 {
+		a.releases.Written++
+	} else {
+		kind = ReleaseRepeated
+		a.releases.Repeated++
+	}
+	a.out.Record(Record{Kind: kind, CallID: k.callID, Conn: o.conn, Switch: k.far, Cause: k.owedWhy, Copies: k.byes, Waited: a.now - k.overAt})
 	k.byeOn, k.byeDue = o.conn, a.now+heardWithin
 	o.byes = append(o.byes, k)
 	a.timers.Set(k.byeDue, dueHeard, k.id)
@@ -51,10 +60,12 @@
 
 // oweCaller keeps a release until a caller's connection opens or proves to hear.
 func (a *Agent) oweCaller(k *call) {
+	a.out.Record(Record{Kind: ReleaseWaits, CallID: k.callID, Switch: k.far, Copies: k.byes, Why: a.door.whyNone()})
 	if len(a.owed) < owedMost {
 		a.owed = append(a.owed, k)
 	} else {
-		a.out.Note("too many releases wait for a caller's connection; one is dropped")
+		a.releases.Dropped++
+		a.out.Record(Record{Kind: ReleaseDropped, CallID: k.callID, Copies: k.byes, Why: "too many wait for a caller's connection"})
 	}
 }
 
@@ -76,7 +87,8 @@
 	case k.byes < byesAll:
 		a.oweCaller(k)
 	default:
-		a.out.Note("no caller answers the release of " + k.callID)
+		a.releases.Dropped++
+		a.out.Record(Record{Kind: ReleaseDropped, CallID: k.callID, Copies: k.byes, Why: "no caller answers"})
 	}
 }
 
@@ -92,6 +104,8 @@
 		a.timers.Set(until, dueHeard, k.id)
 		return
 	}
+	a.releases.Unanswered++
+	a.out.Record(Record{Kind: ReleaseUnanswered, CallID: k.callID, Conn: k.byeOn, Switch: k.far, Copies: k.byes, Waited: a.now - k.overAt})
 	if o := a.door.conns[k.byeOn]; o != nil {
 		o.deaf = true
 	}
--- a/internal/b2bua/rig_test.go
+++ b/internal/b2bua/rig_test.go
@@ -74,6 +74,7 @@
 	names   Conn
 	closed  map[Conn]string
 	notes   []string
+	records []Record
 	wrote   []written
 	version uint64
 	silent  map[Conn]bool   // the far end of these says nothing any more
@@ -369,6 +370,8 @@
 func (r *rig) Left(caller Conn, callID string) bool { return r.gone[callID] }
 func (r *rig) Note(text string)                     { r.notes = append(r.notes, text) }
 
+func (r *rig) Record(e Record) { r.records = append(r.records, e) }
+
 // sent lists what went to a connection, by method or status.
 func (r *rig) sent(to Conn) string {
 	var all []string
--- /dev/null
+++ b/internal/platform/record.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+
+	"indigodrift/internal/b2bua"
+	"indigodrift/internal/board"
+)
+
+// recordsMost lines of one kind are written between two summaries; the rest is counted. At level debug all are written.
+const recordsMost = 20
+
+// recordLevel is the level at which a kind of record is logged: what happens to every call is for debugging only.
+func recordLevel(kind b2bua.RecordKind) slog.Level {
+	switch kind {
+	case b2bua.CallState, b2bua.ReleaseWritten, b2bua.SwitchSuspect:
+		return slog.LevelDebug
+	case b2bua.ReleaseDropped, b2bua.ReleaseLate, b2bua.SetUpRefused:
+		return slog.LevelWarn
+	}
+	return slog.LevelInfo
+}
+
+// Record logs what happened to a call or a connection.
+func (h *hands) Record(r b2bua.Record) {
+	level, ctx := recordLevel(r.Kind), context.Background()
+	if !h.log.Enabled(ctx, level) {
+		return
+	}
+	if !h.log.Enabled(ctx, slog.LevelDebug) {
+		if h.recorded[r.Kind]++; h.recorded[r.Kind] > recordsMost {
+			h.unsaid++
+			return
+		}
+	}
+	var attrs []slog.Attr
+	add := func(given bool, a slog.Attr) {
+		if given {
+			attrs = append(attrs, a)
+		}
+	}
+	add(r.CallID != "", slog.String("call", r.CallID))
+	add(r.Conn != 0, slog.Uint64("conn", uint64(r.Conn)))
+	if w := h.wire(r.Conn); w != nil {
+		add(true, slog.String("peer", w.c.RemoteAddr().String()))
+	}
+	if r.Switch != 0 {
+		add(true, slog.String("switch", board.Text(r.Switch)))
+	}
+	add(r.Kind == b2bua.CallState, slog.String("from", r.From.String()))
+	add(r.Kind == b2bua.CallState || r.Kind == b2bua.ReleaseIgnored, slog.String("to", r.To.String()))
+	add(r.Cause != 0, slog.Int("cause", r.Cause))
+	add(r.Copies != 0, slog.Int("copies", r.Copies))
+	add(r.Waited != 0, slog.Float64("waited_ms", float64(r.Waited)/10))
+	add(r.Why != "", slog.String("why", r.Why))
+	h.log.LogAttrs(ctx, level, r.Kind.String(), attrs...)
+}
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -109,7 +109,9 @@
 	stall   lag.Stall
 	stood   int
 	notes   int
-	unsaid  int
+	// recorded counts the records of each kind since the last summary.
+	recorded map[b2bua.RecordKind]int
+	unsaid   int
 }
 
 // New makes a call controller; build makes its module.
@@ -118,7 +120,7 @@
 	callers, links := b2bua.Descriptors(m.Limits.Sockets)
 	s := &Station{m: m, dial: dial, log: log, began: time.Now(), inbox: make(chan event, inboxMost),
 		stop: make(chan struct{}), room: make(chan struct{}, callers+b2bua.Closing), lines: make(chan struct{}, links+b2bua.Closing), callers: map[b2bua.Conn]*wire{},
-		links: map[b2bua.Conn]*wire{}, open: map[*wire]struct{}{}, boardAt: make(chan string, 1), shut: make(chan struct{})}
+		links: map[b2bua.Conn]*wire{}, open: map[*wire]struct{}{}, boardAt: make(chan string, 1), shut: make(chan struct{}), recorded: map[b2bua.RecordKind]int{}}
 	s.ending, s.cancel = context.WithCancel(context.Background())
 	memory := m.Limits.MemoryMB << 20
 	bounds := b2bua.Bounds{Calls: memory / octetsACall, Octets: memory / octetsPart, Callers: callers, Links: links}
@@ -325,11 +327,13 @@
 	switch e.kind {
 	case callerUp:
 		s.callers[e.conn] = e.w
+		s.log.Debug("caller connected", "conn", e.conn, "peer", e.w.c.RemoteAddr())
 		if !s.agent.CallerUp(now, e.conn) {
 			e.w.finish()
 		}
 	case callerDown:
 		if s.callers[e.conn] != nil {
+			s.log.Debug("caller connection read to its end", "conn", e.conn, "err", e.err)
 			delete(s.callers, e.conn)
 			s.agent.CallerDown(now, e.conn)
 		}
@@ -346,11 +350,13 @@
 	case dialled:
 		if e.w != nil {
 			s.links[e.conn] = e.w
+			s.log.Debug("connected to a switch", "conn", e.conn, "switch", board.Text(e.sw))
 			s.carry(e.w, s.readSwitch, s.lines)
 		}
 		s.agent.Dialled(now, e.sw, e.ticket, e.conn, e.refused)
 	case switchDown:
 		if s.links[e.conn] != nil {
+			s.log.Debug("switch connection read to its end", "conn", e.conn, "err", e.err)
 			delete(s.links, e.conn)
 			s.agent.LinkDown(now, e.conn)
 		}
@@ -434,7 +440,7 @@
 			io.Copy(io.Discard, w.c) //nolint:errcheck // its end is all that matters
 		}
 		w.gone.Store(true)
-		s.post(event{kind: callerDown, conn: w.id})
+		s.post(event{kind: callerDown, conn: w.id, err: err})
 		return
 	}
 }
@@ -469,24 +475,35 @@
 }
 
 func (s *Station) say(text string) {
+	if s.mayNote() {
+		s.log.Warn(text)
+	}
+}
+
+// mayNote tells whether one more line may be written before the next summary.
+func (s *Station) mayNote() bool {
 	if s.notes++; s.notes > notesMost {
 		s.unsaid++
-		return
+		return false
 	}
-	s.log.Warn(text)
+	return true
 }
 
 // summary writes what is believed, to be held against what passed on the sockets.
 func (s *Station) summary() {
 	t, open, standing, kept, callers, late := s.agent.Counts()
+	r := s.agent.Releases()
 	heap := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
 	metrics.Read(heap)
 	s.log.Info("summary", "taken", t.Taken, "stood", t.Stood, "blocked", t.Blocked, "aborted", t.Aborted, "left", t.Left,
 		"refused", t.Refused, "released", t.Released, "cut", t.Cut, "crossed", t.Crossed, "open", open, "standing", standing, "over", kept,
 		"callers", callers, "descriptors", len(s.callers)+len(s.links), "far", s.agent.Believes(), "list", s.known,
 		"board", s.isUp, "late_ms", float64(late)/10, "stood_still", s.stood,
-		"memory_kb", (heap[0].Value.Uint64()-heap[1].Value.Uint64())>>10, "unsaid", s.unsaid)
+		"memory_kb", (heap[0].Value.Uint64()-heap[1].Value.Uint64())>>10, "unsaid", s.unsaid,
+		slog.Group("releases", "written", r.Written, "repeated", r.Repeated, "unanswered", r.Unanswered, "confirmed", r.Confirmed,
+			"late", r.Late, "dropped", r.Dropped, "unknown", r.Unknown, "waiting", r.Waiting, "oldest_ms", float64(r.Oldest)/10))
 	s.notes, s.unsaid, s.stood = 0, 0, 0
+	clear(s.recorded)
 }
 
 // hands is the station as the agent sees it.
@@ -512,7 +529,9 @@
 		w.finish()
 		delete(h.callers, c)
 		delete(h.links, c)
-		(*Station)(h).say("connection closed: " + why)
+		if s := (*Station)(h); s.mayNote() {
+			s.log.Warn("connection closed: "+why, "conn", c, "peer", w.c.RemoteAddr())
+		}
 	}
 }
 
