--- /dev/null
+++ b/cmd/indigodrift/release_test.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"indigodrift/internal/faultproxy"
+	"indigodrift/internal/sip"
+	"indigodrift/internal/sip/siptest"
+)
+
+const (
+	toldWithin    = time.Second     // from a switch's release to its caller's, by the protocol
+	toldAfterLoss = 8 * time.Second // where the release could not be sent
+)
+
+func switchEntries(address string) string {
+	return fmt.Sprintf(`{"rev":1,"pool":{"reset":true,"instances":[{"cell":0,"hostPort":"127.0.0.1:1","instanceId":"s-000000a0","lifecycle":"in_service"},
+{"cell":1,"hostPort":%q,"instanceId":"s-000000a1","lifecycle":"in_service"}]}}`, address)
+}
+
+// standingCalls starts a controller with one switch and sets calls up, on callers' connections in turn.
+func standingCalls(t *testing.T, connections, calls int) (sw *siptest.Peer, callers []*siptest.Peer, ids []string) {
+	n := newPlatformNet(t)
+	n.start(1, switchEntries(n.switches[0].Addr().String()))
+	sw = n.up(0)
+	time.Sleep(50 * time.Millisecond) // the state of the group is read
+	for range connections {
+		callers = append(callers, n.caller())
+	}
+	for i := range calls {
+		ids = append(ids, fmt.Sprintf("%016x", 0x100+i))
+		setUpOnPlatform(callers[i%connections], sw, ids[i])
+	}
+	return sw, callers, ids
+}
+
+func setUpOnPlatform(caller, sw *siptest.Peer, id string) {
+	caller.Say(platformSetUp(id, 1, ""))
+	m := sw.Want(sip.Invite)
+	sw.Stand(m, "answer to "+id)
+	sw.Want(sip.Ack)
+	caller.Say(sip.Message{Method: sip.Ack, URI: "sip:x@net", CallID: caller.Want("200").CallID, CSeq: 1})
+}
+
+// told keeps when callers were first told of each call's end.
+type told struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// listen reads a caller's connection to its end; answer is called for each release.
+func (x *told) listen(c *siptest.Peer, answer func(sip.Message)) {
+	for {
+		m, ok := c.Next(20 * time.Second)
+		if !ok {
+			return
+		}
+		if m.Method != sip.Bye {
+			continue
+		}
+		x.mu.Lock()
+		if _, before := x.at[m.CallID]; !before {
+			x.at[m.CallID] = time.Now()
+		}
+		x.mu.Unlock()
+		answer(m)
+	}
+}
+
+// releaseEach has the switch release calls one after the other, and wants their callers told in time.
+func releaseEach(t *testing.T, sw *siptest.Peer, callers []*siptest.Peer, ids []string, answer func(*siptest.Peer, sip.Message)) {
+	t.Helper()
+	x := &told{at: map[string]time.Time{}}
+	for _, c := range callers {
+		go x.listen(c, func(m sip.Message) { answer(c, m) })
+	}
+	written := map[string]time.Time{}
+	for _, id := range ids {
+		written[id] = time.Now()
+		sw.Say(siptest.Release(id, 16))
+		sw.Want("200")
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(toldWithin)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	late := 0
+	for _, id := range ids {
+		if at, ok := x.at[id]; !ok || at.Sub(written[id]) > toldWithin {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of %d callers were not told within %v", late, len(ids), toldWithin)
+	}
+}
+
+// Guards against releases that are kept unwritten, while calls are answered, since callers do not send the optional 200 to BYE.
+func TestCallersWhoAnswerNoReleaseAreToldOfEachCall(t *testing.T) {
+	sw, callers, ids := standingCalls(t, 2, 24)
+	releaseEach(t, sw, callers, ids, func(*siptest.Peer, sip.Message) {})
+}
+
+// Guards against releases that come late since the optional 200 to an earlier BYE comes late.
+func TestCallersWhoAnswerReleasesLateAreToldOfEachCallInTime(t *testing.T) {
+	const late = 900 * time.Millisecond
+	sw, callers, ids := standingCalls(t, 2, 24)
+	releaseEach(t, sw, callers, ids, func(c *siptest.Peer, m sip.Message) {
+		time.AfterFunc(late, func() { c.Say(m.Answer(sip.OK)) })
+	})
+}
+
+// Guards against a connection that takes no more releases since its caller did not answer those of calls it does not know.
+func TestReleasesOfUnknownCallsDoNotKeepLaterReleasesBack(t *testing.T) {
+	sw, callers, ids := standingCalls(t, 1, 6)
+	for i := range 3 { // of an earlier life of the controller, whose callers have forgotten them
+		sw.Say(siptest.Release(fmt.Sprintf("%016x", 0x900+i), 16))
+		sw.Want("200")
+	}
+	time.Sleep(toldWithin)
+	known := map[string]bool{}
+	for _, id := range ids {
+		known[id] = true
+	}
+	releaseEach(t, sw, callers, ids, func(c *siptest.Peer, m sip.Message) {
+		if known[m.CallID] {
+			c.Say(m.Answer(sip.OK))
+		}
+	})
+}
+
+// Guards against a release that is lost on a connection that has fallen silent, when another one to the switch is open already.
+func TestReleaseLostOnASilentConnectionIsFetchedOnANewOne(t *testing.T) {
+	n := newPlatformNet(t)
+	proxy, err := faultproxy.Listen("127.0.0.1:0", n.switches[0].Addr().String(), faultproxy.Shape{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	n.start(1, switchEntries(proxy.Address()))
+	first := n.up(0)
+	time.Sleep(50 * time.Millisecond)
+	caller := n.caller()
+	const id = "0000000000000100"
+	setUpOnPlatform(caller, first, id)
+	go func() { // signs of life are answered as long as they come
+		for {
+			if _, ok := first.Next(20 * time.Second); !ok {
+				return
+			}
+		}
+	}()
+	proxy.SilenceOne()
+	second := n.up(0) // opened since the first is silent
+	go second.Next(20 * time.Second)
+	first.Say(siptest.Release(id, 16)) // where the set-up was: it does not arrive
+	go func() {
+		for { // the switch repeats it on the next connection that opens
+			c, err := n.switches[0].Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			next := siptest.New(t, c)
+			next.Say(siptest.Release(id, 16))
+			go next.Next(20 * time.Second)
+		}
+	}()
+	n.switches[0].(*net.TCPListener).SetDeadline(time.Time{})
+	if m, ok := caller.Next(toldAfterLoss); !ok || m.Method != sip.Bye {
+		t.Errorf("the caller was not told within %v: %v %+v", toldAfterLoss, ok, m)
+	}
+}
--- /dev/null
+++ b/internal/faultproxy/faultproxy.go
@@ -0,0 +1,272 @@
+// Package faultproxy is a TCP proxy that spoils what passes: it delays connections, passes octets in pieces, swallows them,
+// resets connections, hangs and refuses. internal/soak and tests put it between a controller and everything it talks to. It
+// knows nothing of what the octets mean.
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialWithin = time.Second
+	readMost   = 16 << 10 // octets of one read
+)
+
+// Shape is how a proxy passes octets while it works. The zero value passes them as they come.
+type Shape struct {
+	ConnectMost time.Duration // a connection is passed on after a random wait up to this
+	PieceMost   int           // octets are passed in pieces of at most so many, 0: as they come
+	PieceWait   time.Duration // between two pieces, at most
+}
+
+// Proxy passes connections from one address to another.
+type Proxy struct {
+	address string
+	shape   Shape
+
+	mu     sync.Mutex
+	random *rand.Rand
+	target string
+	ln     net.Listener
+	links  map[*Link]struct{}
+	hung   bool
+	closed bool
+	all    sync.WaitGroup
+}
+
+// Link is one connection through a proxy.
+type Link struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+// Listen starts a proxy at an address that passes connections on to target; seed draws its waits and pieces.
+func Listen(address, target string, shape Shape, seed uint64) (*Proxy, error) {
+	p := &Proxy{shape: shape, random: rand.New(rand.NewPCG(seed, 0x50)), target: target, links: map[*Link]struct{}{}}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("proxy at %s: %w", address, err)
+	}
+	p.address = ln.Addr().String()
+	p.serve(ln)
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.address }
+
+// Retarget has later connections passed on to another address.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+// Refuse ends the listener: connections are refused until Accept. Those that are open stay.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ln != nil {
+		p.ln.Close()
+		p.ln = nil
+	}
+}
+
+// Accept listens again after Refuse.
+func (p *Proxy) Accept() error {
+	p.mu.Lock()
+	open := p.ln != nil || p.closed
+	p.mu.Unlock()
+	if open {
+		return nil
+	}
+	ln, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("proxy at %s: %w", p.address, err)
+	}
+	p.serve(ln)
+	return nil
+}
+
+// Hang has later connections accepted and not passed on, until it is called with false.
+func (p *Proxy) Hang(hung bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hung = hung
+}
+
+// Silence has nothing pass on the connections that are open now, in either direction, for good. They stay open.
+func (p *Proxy) Silence() { p.each(func(l *Link) { l.silent.Store(true) }) }
+
+// Reset resets the connections that are open now, at both ends.
+func (p *Proxy) Reset() { p.each((*Link).reset) }
+
+// ResetOne resets one of the connections that are open now.
+func (p *Proxy) ResetOne() { p.one((*Link).reset) }
+
+// SilenceOne silences one of the connections that are open now.
+func (p *Proxy) SilenceOne() { p.one(func(l *Link) { l.silent.Store(true) }) }
+
+func (p *Proxy) one(do func(*Link)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		if !l.silent.Load() {
+			do(l)
+			return
+		}
+	}
+}
+
+func (p *Proxy) each(do func(*Link)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		do(l)
+	}
+}
+
+// Close ends the proxy and everything that passes through it.
+func (p *Proxy) Close() {
+	p.Refuse()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.each((*Link).close)
+	p.all.Wait()
+}
+
+func (l *Link) close() {
+	l.near.Close()
+	if l.far != nil {
+		l.far.Close()
+	}
+}
+
+func (l *Link) reset() {
+	for _, c := range []net.Conn{l.near, l.far} {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // a connection that is closed already needs no reset
+		}
+	}
+	l.close()
+}
+
+func (p *Proxy) serve(ln net.Listener) {
+	p.mu.Lock()
+	p.ln = ln
+	p.mu.Unlock()
+	p.all.Go(func() {
+		for {
+			c, err := ln.Accept()
+			switch {
+			case errors.Is(err, net.ErrClosed):
+				return
+			case err != nil:
+				time.Sleep(time.Millisecond)
+			default:
+				p.all.Go(func() { p.pass(c) })
+			}
+		}
+	})
+}
+
+// drawn is a random wait up to most.
+func (p *Proxy) drawn(most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.random.Int64N(int64(most) + 1))
+}
+
+// pass passes one connection on until either side ends it.
+func (p *Proxy) pass(near net.Conn) {
+	l := &Link{near: near}
+	p.mu.Lock()
+	target, hung, closed := p.target, p.hung, p.closed
+	if !closed {
+		p.links[l] = struct{}{}
+	}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.links, l)
+		p.mu.Unlock()
+	}()
+	if closed {
+		near.Close()
+		return
+	}
+	if hung {
+		l.silent.Store(true)
+		p.copy(l, near, nil)
+		near.Close()
+		return
+	}
+	time.Sleep(p.drawn(p.shape.ConnectMost))
+	far, err := net.DialTimeout("tcp", target, dialWithin)
+	if err != nil {
+		l.reset()
+		return
+	}
+	p.mu.Lock()
+	l.far = far
+	closed = p.closed
+	p.mu.Unlock()
+	if closed {
+		l.close()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(l, near, far) })
+	both.Go(func() { p.copy(l, far, near) })
+	both.Wait()
+	l.close()
+}
+
+// copy passes octets one way. At their end the other side's end is passed on as well, a reset as a reset; on a silent connection
+// nothing is, and it stays open for the side that has not closed it.
+func (p *Proxy) copy(l *Link, from, to net.Conn) {
+	buf := make([]byte, readMost)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !l.silent.Load() && to != nil {
+			p.write(l, to, buf[:n])
+		}
+		if err == nil {
+			continue
+		}
+		if l.silent.Load() {
+			return
+		}
+		if half, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+			_ = half.CloseWrite() // it may be gone already
+			return
+		}
+		l.reset()
+		return
+	}
+}
+
+func (p *Proxy) write(l *Link, to net.Conn, b []byte) {
+	for len(b) > 0 && !l.silent.Load() {
+		n := len(b)
+		if p.shape.PieceMost > 0 {
+			n = min(n, 1+int(p.drawn(time.Duration(p.shape.PieceMost-1))))
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+		if b = b[n:]; len(b) > 0 && p.shape.PieceMost > 0 {
+			time.Sleep(p.drawn(p.shape.PieceWait))
+		}
+	}
+}
