A connection to a switch that is lost is replaced though another is open: releases come again there

Callers saw: a call that was over went on standing, when its release was written on a connection that had fallen silent. Cause: the replacement is dialled at half of the sign time and opens before the silent one is given up; the switch repeats a release on the next connection that opens, and none did. The same holds for a reset beside a healthy connection, and for connections closed here. Why this works: every loss asks for a connection dialled after it, until one opens; a dial under way, or a close by the switch itself, is told apart. Releases that cross our own close are read.

--- a/cmd/indigodrift/platform_test.go
+++ b/cmd/indigodrift/platform_test.go
@@ -233,7 +233,7 @@
 	time.Sleep(50 * time.Millisecond)
 	sw.Say(siptest.Release(ids[0], 16)) // from the switch's side
 	sw.Want("200")
-	c.WantRelease(ids[0]) // and no answer to the set-ups with at
+	c.WantRelease(ids[0])              // and no answer to the set-ups with at
 	c.Say(siptest.Release(ids[1], 16)) // from the caller's
 	c.Want("200")
 	if m := sw.Want(sip.Bye); m.CallID != ids[1] {
--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -145,6 +145,7 @@
 	far      map[uint32]*farEnd
 	farOrder []uint32
 	linkOf   map[Conn]uint32
+	closing  map[Conn]uint32 // connections to switches that were closed here and may still bring releases
 	callers  callerConns
 	pending  releaseQueue
 	timers   due.Queue
@@ -159,7 +160,7 @@
 func New(set deployment.Settled, b Bounds, out Carrier, now policy.Tenths,
 	build func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{set: set, out: out, now: now, calls: map[uint64]*call{}, byHandle: map[uint32]*call{},
-		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{},
+		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{}, closing: map[Conn]uint32{},
 		callers: newCallerConns(b.Callers), pending: releaseQueue{byCall: map[uint64]*pendingRelease{}}, houseAt: now + houseWork, fresh: set.Module.Seed}
 	a.decide = build(set.Module, (*desk)(a), now)
 	return a
@@ -400,6 +401,10 @@
 	a.now = now
 	sw, ok := a.linkOf[c]
 	if !ok {
+		if f := a.far[a.closing[c]]; f != nil && m.Method == sip.Bye { // it crossed the close
+			a.released(f, m)
+			a.settle()
+		}
 		return
 	}
 	f := a.far[sw]
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -82,18 +82,21 @@
 
 // farEnd is one listed switch and the connections to it.
 type farEnd struct {
-	entry    board.Switch
-	links    []*link
-	waiting  []uint32 // calls whose route try waits for a connection
-	owed     []sip.Message
-	dialing  bool
-	ticket   uint32
-	pace     *reconnect.Pace
-	dialAt   policy.Tenths // the next dial that no call asks for
-	heardAt  policy.Tenths // of the switch, on any connection
-	told     policy.Report // free circuits and size last told, for the log
-	trip     policy.Tenths // the way there and back, as tests measured it
-	measured bool
+	entry   board.Switch
+	links   []*link
+	waiting []uint32 // calls whose route try waits for a connection
+	owed    []sip.Message
+	dialing bool
+	ticket  uint32
+	// fetchFrom is the least ticket of a dial whose connection brings again what was lost on one that broke: switches repeat their
+	// releases on the next connection that opens, and on no other. 0: nothing was lost since the last one opened.
+	fetchFrom uint32
+	pace      *reconnect.Pace
+	dialAt    policy.Tenths // the next dial that no call asks for
+	heardAt   policy.Tenths // of the switch, on any connection
+	told      policy.Report // free circuits and size last told, for the log
+	trip      policy.Tenths // the way there and back, as tests measured it
+	measured  bool
 }
 
 // room is the connection on which the next set-up goes: the least laden of those in no doubt, nil when there is none.
@@ -131,6 +134,25 @@
 	a.out.Dial(f.entry.ID, f.ticket, f.entry.Address)
 }
 
+// fetch dials one more connection to a switch. Where it has as many as it may, the one that was heard last the longest ago and has nothing
+// out on it makes room.
+func (a *Agent) fetch(f *farEnd) {
+	if !f.dialing && len(f.links) >= linksMost {
+		var idle *link
+		for _, l := range f.links {
+			if l.tries == 0 && (idle == nil || l.heardAt < idle.heardAt) {
+				idle = l
+			}
+		}
+		if idle == nil {
+			return
+		}
+		a.dropLinks(f, "a new connection to this switch is needed", func(l *link) bool { return l == idle })
+		return // its end asks for the dial
+	}
+	a.dial(f)
+}
+
 // full tells that the descriptors for switches are all in use.
 func (a *Agent) full() bool { return len(a.linkOf)+a.dialled >= a.linkMost }
 
@@ -153,6 +175,7 @@
 	}
 	other := a.far[a.linkOf[worst.conn]]
 	delete(a.linkOf, worst.conn)
+	a.closing[worst.conn] = other.entry.ID
 	other.links = slices.DeleteFunc(other.links, func(l *link) bool { return l == worst })
 	other.dialAt = a.now + other.pace.Wait()
 	a.out.Close(worst.conn, "its descriptor is needed for another switch")
@@ -176,6 +199,9 @@
 		return
 	}
 	f.dialing = false
+	if c != 0 && ticket >= f.fetchFrom {
+		f.fetchFrom = 0
+	}
 	if c == 0 {
 		f.pace.Down(now)
 		f.dialAt = now + f.pace.Wait()
@@ -209,6 +235,9 @@
 			a.setUp(k, f)
 		}
 	}
+	if f.fetchFrom != 0 { // it was under way already when something was lost
+		a.fetch(f)
+	}
 	a.settle()
 }
 
@@ -229,9 +258,11 @@
 	}
 }
 
-// LinkDown tells that a connection to a switch broke or was closed: the set-ups open on it may have run.
-func (a *Agent) LinkDown(now policy.Tenths, c Conn) {
+// LinkDown tells that a connection to a switch broke or was closed: the set-ups open on it may have run. With whole its far end closed it,
+// and all that it had written was read; else what it wrote last may be lost.
+func (a *Agent) LinkDown(now policy.Tenths, c Conn, whole bool) {
 	a.now = now
+	delete(a.closing, c)
 	sw, ok := a.linkOf[c]
 	if !ok {
 		return
@@ -247,8 +278,12 @@
 		}
 		f.links = slices.DeleteFunc(f.links, func(l *link) bool { return l.conn == c })
 		f.pace.Down(now)
-		if f.dialAt = now; len(f.links) == 0 && a.wanted(f) { // at once: releases come on open connections only
-			a.dial(f)
+		f.dialAt = now
+		if !whole {
+			f.fetchFrom = a.tickets + 1
+		}
+		if a.wanted(f) && (len(f.links) == 0 || f.fetchFrom != 0) { // at once: releases come on open connections only
+			a.fetch(f)
 		}
 	}
 	cut := a.inOrder(func(k *call) bool { return k.state == Trying && k.link == c })
@@ -264,7 +299,8 @@
 	for _, l := range slices.Clone(f.links) {
 		if which(l) {
 			a.out.Close(l.conn, why)
-			a.LinkDown(a.now, l.conn)
+			a.LinkDown(a.now, l.conn, false)
+			a.closing[l.conn] = f.entry.ID
 		}
 	}
 }
@@ -311,8 +347,8 @@
 				a.test(l)
 			}
 		}
-		if f.room(a.now, a.stalled, 0) == nil && a.now >= f.dialAt {
-			a.dial(f)
+		if a.now >= f.dialAt && (f.fetchFrom != 0 || f.room(a.now, a.stalled, 0) == nil) {
+			a.fetch(f)
 		}
 		if a.now-max(f.heardAt, a.stalled) > goneAfter {
 			a.cutStanding(f, a.now, "nothing is heard of it")
--- /dev/null
+++ b/internal/b2bua/fetch_test.go
@@ -0,0 +1,102 @@
+package b2bua
+
+import (
+	"testing"
+
+	"indigodrift/internal/sip"
+	"indigodrift/policy"
+)
+
+// twoLinks is an agent with two connections to switch 1 and a call that stands there; one was opened since the other fell silent.
+func twoLinks(t *testing.T) (r *rig, old, other Conn, k *heardOf) {
+	r, _, k = served(t)
+	old = r.linkTo(1)
+	r.silent[old] = true
+	for range 200 {
+		if r.pass(houseWork); len(r.dials) > 0 {
+			other = r.dial(false, true)
+			break
+		}
+	}
+	if other == 0 || r.closed[old] != "" {
+		t.Fatalf("other %d, closed %v", other, r.closed)
+	}
+	return r, old, other, k
+}
+
+// Guards against a release that is lost with its connection, since the switch repeats it on the next that opens and none does.
+func TestConnectionThatBreaksIsReplacedThoughAnotherIsOpen(t *testing.T) {
+	r, old, _, _ := twoLinks(t)
+	r.linkDown(old)
+	if len(r.dials) != 1 || r.dials[0].sw != 1 {
+		t.Fatalf("dials %v", r.dials)
+	}
+	for range 3 { // until one opens
+		r.dial(false, false)
+		r.pass(redialMost + redialFirst)
+		if len(r.dials) != 1 {
+			t.Fatalf("dials %v", r.dials)
+		}
+	}
+	r.dial(false, true)
+	if r.pass(redialMost); len(r.dials) != 0 {
+		t.Errorf("still dials %v", r.dials)
+	}
+}
+
+// Guards against a dial that was under way when a connection broke being taken for the one that fetches what was lost: the switch may have
+// accepted it before it wrote the release.
+func TestDialUnderWayFetchesNothing(t *testing.T) {
+	r, first, _, _ := twoLinks(t)
+	r.linkDown(first)
+	before := r.dials[0].ticket
+	r.linkDown(r.linkTo(1)) // while the dial goes on
+	r.dial(false, true)
+	if len(r.dials) != 1 || r.dials[0].ticket <= before {
+		t.Errorf("dials %v after ticket %d", r.dials, before)
+	}
+}
+
+// A switch that closes an idle connection has written all that it had to: nothing is to be fetched while another is open.
+func TestConnectionThatItsSwitchClosesIsNotReplaced(t *testing.T) {
+	r, old, _, _ := twoLinks(t)
+	r.forgetLink(old)
+	if r.a.LinkDown(r.now, old, true); len(r.dials) != 0 {
+		t.Errorf("dials %v", r.dials)
+	}
+}
+
+// Guards against a release that crosses our own close of its connection.
+func TestReleaseThatCrossesOurCloseIsTaken(t *testing.T) {
+	r, old, _, k := twoLinks(t)
+	for range 100 {
+		if r.pass(houseWork); r.closed[old] != "" {
+			break
+		}
+	}
+	k.standsAt, k.overAt = 0, r.now
+	r.a.FromSwitch(r.now, old, r.bye(k.id, 16))
+	if k.callerReleased != 1 {
+		t.Error("not told")
+	}
+	late := &sip.Message{Status: sip.OK, CallID: k.id, CSeq: 1, CSeqMethod: sip.Invite}
+	if r.a.FromSwitch(r.now, old, late); len(r.a.closing) == 0 {
+		t.Error("forgotten before its end")
+	}
+	if r.a.LinkDown(r.now, old, false); len(r.a.closing) != 0 {
+		t.Error("kept after its end")
+	}
+}
+
+// Where a switch has as many connections as it may, an idle one makes room for the one that fetches.
+func TestIdleConnectionMakesRoomForTheOneThatFetches(t *testing.T) {
+	r, _, _ := served(t)
+	for range linksMost {
+		r.a.far[1].fetchFrom = r.a.tickets + 1
+		r.pass(policy.Tenths(houseWork))
+		r.dialAll(10, 10)
+	}
+	if n := len(r.a.far[1].links); n != linksMost || r.a.far[1].fetchFrom != 0 {
+		t.Errorf("%d connections, to be fetched from ticket %d", n, r.a.far[1].fetchFrom)
+	}
+}
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -42,15 +42,16 @@
 // pendingRelease is the release of one call towards its caller, from when the call is over until the caller is known to have
 // read it, or it is given up. It always has a due time: whatever happens to connections or does not, the next round comes.
 type pendingRelease struct {
-	call     *call
-	cause    int
-	cameAt   policy.Tenths
-	dueAt    policy.Tenths
-	rounds   int
-	written  int    // copies
-	on       []Conn // open connections that bear a copy
-	putOff   bool   // a stall has put its round off already
-	reported bool   // it was logged that no connection can take it
+	call      *call
+	cause     int
+	cameAt    policy.Tenths
+	dueAt     policy.Tenths
+	writtenAt policy.Tenths // the last copy
+	rounds    int
+	written   int    // copies
+	on        []Conn // open connections that bear a copy
+	putOff    bool   // a stall has put its round off already
+	reported  bool   // it was logged that no connection can take it
 }
 
 // releaseQueue keeps the releases that are not confirmed.
@@ -132,9 +133,11 @@
 		copies++
 	}
 	a.writeCopies(r, candidates, copies)
-	r.rounds++
+	if r.written > 0 {
+		r.rounds++
+	}
 	wait := copyEvery
-	if r.rounds >= roundsFast {
+	if r.rounds >= roundsFast || a.now-r.cameAt >= tellWithin {
 		wait = roundSlow
 	}
 	a.releaseAgainAt(r, a.now+wait)
@@ -160,6 +163,7 @@
 func (a *Agent) writeCopy(r *pendingRelease, o *callerConn) {
 	k := r.call
 	r.written++
+	r.writtenAt = a.now
 	kind := ReleaseRepeated
 	if r.written == 1 {
 		kind = ReleaseWritten
@@ -185,7 +189,7 @@
 }
 
 func (a *Agent) needsCopy(r *pendingRelease, o *callerConn) bool {
-	if len(r.on) == 0 || a.now-r.cameAt >= copyEvery {
+	if len(r.on) == 0 || a.now-r.writtenAt >= copyEvery {
 		return true
 	}
 	return o.readAt != 0 && !slices.ContainsFunc(r.on, a.callers.proved)
--- a/internal/b2bua/rig_test.go
+++ b/internal/b2bua/rig_test.go
@@ -238,7 +238,7 @@
 
 func (r *rig) linkDown(c Conn) {
 	r.forgetLink(c)
-	r.a.LinkDown(r.now, c)
+	r.a.LinkDown(r.now, c, false)
 }
 
 func (r *rig) forgetLink(c Conn) {
@@ -321,7 +321,7 @@
 	case m.Method == sip.Bye:
 		k.callerReleased++
 		if !k.stood || k.heardRelease || k.callerEnded || k.bears[to] || k.callerReleased > r.copiesAllowed(k, to) {
-			r.t.Fatalf("call %s: release %d, on connection %d, of a call that does not stand for its caller, or too soon", k.id, k.callerReleased, to)
+			r.t.Fatalf("call %s: release %d, on connection %d, of a call that does not stand for its caller, or too soon: %d after the first, %+v, deaf %v, acked %v", k.id, k.callerReleased, to, r.now-k.releasedAt, *k, r.deaf, r.acked)
 		}
 		if k.callerReleased == 1 {
 			k.releasedAt, k.bears = r.now, map[Conn]bool{}
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -358,8 +358,8 @@
 		if s.links[e.conn] != nil {
 			s.log.Debug("switch connection read to its end", "conn", e.conn, "err", e.err)
 			delete(s.links, e.conn)
-			s.agent.LinkDown(now, e.conn)
 		}
+		s.agent.LinkDown(now, e.conn, e.err == io.EOF) //nolint:errorlint // within a message it is another error
 	case switchSays:
 		s.agent.FromSwitch(now, e.conn, &e.m)
 	case switchPart:
@@ -454,7 +454,7 @@
 		case err != nil:
 			s.post(event{kind: switchDown, conn: w.id, err: err})
 			return
-		case !w.finishing() && !s.post(event{kind: switchSays, conn: w.id, m: m}):
+		case !s.post(event{kind: switchSays, conn: w.id, m: m}): // also while it is closed: a release may cross that
 			return
 		}
 	}
