--- /dev/null
+++ b/internal/lag/stall_test.go
@@ -0,0 +1,39 @@
+package lag
+
+import (
+	"testing"
+
+	"indigodrift/policy"
+)
+
+func TestTimersWaitUntilWhatCameDuringAStallIsRead(t *testing.T) {
+	var s Stall
+	if !s.Woke(10000, 5000) {
+		t.Fatal("no stall found")
+	}
+	if until, reading := s.Reading(10000); !reading || until != 10000+readFirst {
+		t.Errorf("reading %v until %d", reading, until)
+	}
+	if _, reading := s.Reading(10000 + readFirst); reading {
+		t.Error("still reading")
+	}
+}
+
+// Guards against timers that never act: under a processor quota one stall follows the other before the wait after the first is over.
+func TestStallsInARowDoNotHoldTimersForGood(t *testing.T) {
+	const runs, stands = policy.Tenths(100), policy.Tenths(900) // a tenth of a processor
+	var s Stall
+	acted := 0
+	for now := policy.Tenths(10000); now < 110000; now += runs + stands {
+		s.Woke(now, now-stands)
+		for at := now; at < now+runs; at += 10 {
+			if _, reading := s.Reading(at); !reading {
+				acted++
+				break
+			}
+		}
+	}
+	if acted < 30 {
+		t.Errorf("timers acted in %d of 100 turns", acted)
+	}
+}
