Short stalls put off a verdict of silence by half a second at most

Callers would see: calls standing for good at a switch that is gone, and silent connections kept, on a controller that is short of processor time. Cause: silence counted from the end of the last stall, so that stalls in a row counted it anew each time. Why this works: short stalls count as a bounded allowance; only a stop of a second or more, after which everything lies unread, starts the count anew.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -128,7 +128,7 @@
 	decide   exchange.Decider
 	out      Carrier
 	now      policy.Tenths
-	stalled  policy.Tenths
+	silence  silenceClock
 	calls    map[uint64]*call
 	byHandle map[uint32]*call
 	over     []*call // oldest first
@@ -161,7 +161,7 @@
 	build func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{set: set, out: out, now: now, calls: map[uint64]*call{}, byHandle: map[uint32]*call{},
 		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{}, closing: map[Conn]uint32{},
-		callers: newCallerConns(b.Callers), pending: releaseQueue{byCall: map[uint64]*pendingRelease{}}, houseAt: now + houseWork, fresh: set.Module.Seed}
+		callers: newCallerConns(b.Callers), silence: silenceClock{tickAt: now}, pending: releaseQueue{byCall: map[uint64]*pendingRelease{}}, houseAt: now + houseWork, fresh: set.Module.Seed}
 	a.decide = build(set.Module, (*desk)(a), now)
 	return a
 }
@@ -182,7 +182,8 @@
 
 // Tick does what has fallen due. stalled is the end of the last stall of this process, 0 when there was none.
 func (a *Agent) Tick(now, stalled policy.Tenths) {
-	a.now, a.stalled = now, stalled
+	a.now = now
+	a.silence.tick(now, stalled)
 	for d, ok := a.timers.Pop(now); ok; d, ok = a.timers.Pop(now) {
 		a.lateness = max(a.lateness, now-d.At)
 		k := a.byHandle[uint32(d.Token)]
@@ -345,7 +346,7 @@
 
 // setUp writes a set-up on a connection of the switch.
 func (a *Agent) setUp(k *call, f *farEnd) {
-	l := f.room(a.now, a.stalled, a.set.StreamsMost)
+	l := a.room(f, a.set.StreamsMost)
 	if l == nil {
 		f.waiting = append(f.waiting, k.handle)
 		if a.dial(f); a.full() && !f.dialing { // nothing to wait for
@@ -526,8 +527,8 @@
 		return
 	}
 	l := f.link(link)
-	if l == nil || f.doubtful(l, a.now, a.stalled) {
-		if other := f.room(a.now, a.stalled, 0); other != nil {
+	if l == nil || a.doubtful(f, l) {
+		if other := a.room(f, 0); other != nil {
 			l = other
 		}
 	}
--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -119,14 +119,13 @@
 }
 
 // overdue tells why a connection must go by itself, "" when it may stay.
-func (o *callerConn) overdue(now, stalled policy.Tenths) string {
-	since := func(at policy.Tenths) policy.Tenths { return now - max(at, stalled) }
+func (o *callerConn) overdue(silentFor func(policy.Tenths) policy.Tenths) string {
 	switch {
-	case o.partAt != 0 && since(o.partAt) > wordMost:
+	case o.partAt != 0 && silentFor(o.partAt) > wordMost:
 		return "half a message and no more"
-	case o.wholeAt == 0 && since(o.openAt) > wordMost:
+	case o.wholeAt == 0 && silentFor(o.openAt) > wordMost:
 		return "nothing said"
-	case o.calls == 0 && o.wholeAt != 0 && since(o.wholeAt) > idleMost:
+	case o.calls == 0 && o.wholeAt != 0 && silentFor(o.wholeAt) > idleMost:
 		return "idle"
 	}
 	return ""
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -102,7 +102,7 @@
 func (a *Agent) sweep() {
 	for _, c := range slices.Clone(a.callers.order) {
 		o := a.callers.conns[c]
-		if why := o.overdue(a.now, a.stalled); why != "" {
+		if why := o.overdue(a.silentFor); why != "" {
 			if o.partAt != 0 {
 				a.CallerBad(a.now, c, &sip.Message{}, false, why)
 				continue
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -52,11 +52,11 @@
 }
 
 // unheard is how long a sign of life has been owed on a connection, 0 when none is.
-func (l *link) unheard(now, stalled policy.Tenths) policy.Tenths {
+func (a *Agent) unheard(l *link) policy.Tenths {
 	if l.askedAt == 0 {
 		return 0
 	}
-	return now - max(l.askedAt, stalled)
+	return a.silentFor(l.askedAt)
 }
 
 // signWithin is how long a sign of life may be owed on a connection to a switch.
@@ -68,8 +68,8 @@
 }
 
 // doubtful tells that a connection should take nothing new.
-func (f *farEnd) doubtful(l *link, now, stalled policy.Tenths) bool {
-	return l.unheard(now, stalled) > f.signWithin()/2
+func (a *Agent) doubtful(f *farEnd, l *link) bool {
+	return a.unheard(l) > f.signWithin()/2
 }
 
 // tested takes the answer to a test; that to one before the last would measure too short a way. Of the ways measured the
@@ -100,10 +100,10 @@
 }
 
 // room is the connection on which the next set-up goes: the least laden of those in no doubt, nil when there is none.
-func (f *farEnd) room(now, stalled policy.Tenths, most int) *link {
+func (a *Agent) room(f *farEnd, most int) *link {
 	var best *link
 	for _, l := range f.links {
-		if f.doubtful(l, now, stalled) || most > 0 && l.tries >= most {
+		if a.doubtful(f, l) || most > 0 && l.tries >= most {
 			continue
 		}
 		if best == nil || l.tries < best.tries {
@@ -331,14 +331,14 @@
 			continue
 		}
 		for _, l := range slices.Clone(f.links) {
-			quiet, most := a.now-max(l.heardAt, a.stalled), askAfter
+			quiet, most := a.silentFor(l.heardAt), askAfter
 			if l.tries > 0 {
-				quiet, most = a.now-max(l.heardAt, l.busyAt, a.stalled), askBusy
+				quiet, most = a.silentFor(max(l.heardAt, l.busyAt)), askBusy
 			}
 			switch {
-			case l.partAt != 0 && a.now-max(l.partAt, a.stalled) > partMost:
+			case l.partAt != 0 && a.silentFor(l.partAt) > partMost:
 				a.dropLinks(f, "half a message and no more", func(o *link) bool { return o == l })
-			case l.unheard(a.now, a.stalled) > f.signWithin():
+			case a.unheard(l) > f.signWithin():
 				a.out.Note("a connection to " + board.Text(id) + " gives no sign of life")
 				a.dropLinks(f, "no sign of life", func(o *link) bool { return o == l })
 			case l.askedAt == 0 && quiet > most:
@@ -347,10 +347,10 @@
 				a.test(l)
 			}
 		}
-		if a.now >= f.dialAt && (f.fetchFrom != 0 || f.room(a.now, a.stalled, 0) == nil) {
+		if a.now >= f.dialAt && (f.fetchFrom != 0 || a.room(f, 0) == nil) {
 			a.fetch(f)
 		}
-		if a.now-max(f.heardAt, a.stalled) > goneAfter {
+		if a.silentFor(f.heardAt) > goneAfter {
 			a.cutStanding(f, a.now, "nothing is heard of it")
 		}
 	}
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -104,7 +104,7 @@
 		return
 	}
 	k := r.call
-	if until := a.stalled + stallRead; a.stalled != 0 && a.now < until && !r.putOff {
+	if until := a.silence.stalled + stallRead; a.silence.stalled != 0 && a.now < until && !r.putOff {
 		r.putOff = true
 		a.releaseAgainAt(r, until)
 		return
