A switch that only accepts connections is not taken as heard: its calls are ended in time

Callers would see: calls at a switch that hangs standing for good. Cause: each connection that came up counted as a sign of life; a hung process's system accepts connections, so its silence never reached the 5.5 s after which its calls are ended. Evidence: the case 'hangs' of TestCallsOfALostSwitchAreReleased failed before (released 0 times). Why this works: only messages count; a switch that is well answers the test on each new connection at once.

--- a/internal/b2bua/b2bua_test.go
+++ b/internal/b2bua/b2bua_test.go
@@ -329,6 +329,19 @@
 				}
 			}
 		},
+		"hangs: connections come up and nothing is said": func(r *rig) {
+			for _, c := range r.linkSeq {
+				r.silent[c] = true
+			}
+			for range 30 {
+				r.pass(2500)
+				for len(r.dials) > 0 {
+					if c := r.dial(false, true); c != 0 {
+						r.silent[c] = true
+					}
+				}
+			}
+		},
 		"never up again": func(r *rig) {
 			r.linkDown(r.linkTo(1))
 			for range 30 {
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -213,7 +213,6 @@
 		return
 	}
 	f.pace.Up(now)
-	f.heardAt = now
 	l := &link{conn: c, openAt: now, heardAt: now}
 	f.links = append(f.links, l)
 	a.linkOf[c] = sw
