A call whose caller has gone when its answer comes is released at its switch

Callers and switches would see: a call that stands for nobody and holds a circuit until the switch ends it. Cause: the answer was written to a connection already known to have ended; the message that tells of its end lay in the inbox behind it, and no longer found the call open. Evidence: TestCallAnsweredAfterItsCallerHasLeftIsReleasedAtItsSwitch failed before (1 stands, switch not released). Why this works: the answer asks what new tries ask already, whether the caller is known to have left.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -327,6 +327,15 @@
 	a.become(k, Over)
 }
 
+// leftAsItStood ends a call whose switch answered after its caller had gone.
+func (a *Agent) leftAsItStood(k *call) {
+	handle, try, far := k.handle, k.tries-1, k.far
+	a.decide.CallerLeft(a.now, handle)
+	a.become(k, Over)
+	a.decide.Ended(a.now, handle, try, far, policy.Cancelled, true, policy.NoReason, 0, untold)
+	a.tally.Left++
+}
+
 var untold = policy.Report{Free: -1, Size: -1, Wait: -1, HoldBack: -1}
 
 // ended tells the module of the end of a standing call and forgets it.
@@ -460,6 +469,11 @@
 		a.later = append(a.later, report{handle: k.handle, try: k.tries - 1, sw: k.far, end: end, why: why, wait: wait, rep: rep})
 		return
 	}
+	if a.out.Left(k.caller, k.callID) { // nobody would hear that the call stands, nor that it is over
+		a.out.Write(c, a.bye(k.callID, k.uri, causeNormal))
+		a.leftAsItStood(k)
+		return
+	}
 	a.writeAnswer(k, &sip.Message{Status: sip.OK, CallID: k.callID, CSeq: k.cseq, CSeqMethod: sip.Invite, Body: m.Body})
 	a.become(k, Standing)
 	a.tally.Stood++
--- a/internal/b2bua/left_test.go
+++ b/internal/b2bua/left_test.go
@@ -34,6 +34,22 @@
 	}
 }
 
+// Guards against a call that stands at its switch for nobody, since its answer goes to a connection that is known to have ended.
+func TestCallAnsweredAfterItsCallerHasLeftIsReleasedAtItsSwitch(t *testing.T) {
+	r := newRig(t)
+	r.dialAll(9, 9)
+	c := r.callerUp()
+	k := r.offer(c, 1, 1000)
+	r.gone[k.id] = true
+	r.answer(k, sip.OK)
+	if k.switchReleased != 1 || k.answers != 0 || r.a.standing != 0 || r.a.open != 0 {
+		t.Fatalf("%+v, %d stand, %d open", k, r.a.standing, r.a.open)
+	}
+	k.left = true
+	r.callerDown(c)
+	r.pass(1000)
+}
+
 func TestNoFurtherTryBeginsForACallerWhoHasLeft(t *testing.T) {
 	r := newRig(t)
 	r.dialAll(9, 9)
