A caller's release that crosses our close of its connection is still passed on

Switches would see: a call held on though its caller had released it. Cause: what came on a connection while it was being closed here was thrown away, releases too. Evidence: TestCallersReleaseThatCrossesOurCloseReachesTheSwitch failed before (told 0 times). Why this works: a release names its call and needs no connection; what else comes there is passed over as before.

--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -118,6 +118,7 @@
 	a.now = now
 	o := a.callers.conns[c]
 	if o == nil {
+		a.crossesClose(c, m)
 		return
 	}
 	o.wholeAt, o.partAt = now, 0
@@ -142,6 +143,19 @@
 	a.settle()
 }
 
+// crossesClose takes a message that came while its connection was closed here: a release, or the answer to one, is worth as much as before.
+func (a *Agent) crossesClose(c Conn, m *sip.Message) {
+	switch {
+	case m.Method == sip.Bye:
+		a.callerReleases(c, m)
+	case m.Status == sip.OK && m.CSeqMethod == sip.Bye:
+		if id, err := readID(m.CallID); err == nil && a.calls[id] != nil {
+			a.confirmed(a.calls[id])
+		}
+	}
+	a.settle()
+}
+
 func (a *Agent) refuseMessage(c Conn, m *sip.Message, status int, why string) {
 	a.tally.Refused++
 	a.out.Record(Record{Kind: SetUpRefused, CallID: m.CallID, Conn: c, Why: why})
--- a/internal/b2bua/release_test.go
+++ b/internal/b2bua/release_test.go
@@ -262,3 +262,14 @@
 }
 
 func idOf(n int) string { return fmt.Sprintf("%016x", n) }
+
+// Guards against a caller's release that is lost since our close of its connection crosses it.
+func TestCallersReleaseThatCrossesOurCloseReachesTheSwitch(t *testing.T) {
+	r, first, _, k := stood(t)
+	r.a.CallerDown(r.now, first) // closed here; what it has sent is still read
+	r.drop(first)
+	k.callerEnded = true
+	if r.a.FromCaller(r.now, r.now, first, r.bye(k.id, 16)); k.switchReleased != 1 || r.a.standing != 1 {
+		t.Errorf("the switch was told %d times, %d stand", k.switchReleased, r.a.standing)
+	}
+}
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -424,7 +424,7 @@
 	for {
 		m, err := r.Read()
 		switch {
-		case err == nil && w.finishing(): // only until the far end has read what was written to it
+		case err == nil && w.finishing() && m.Method != sip.Bye && m.CSeqMethod != sip.Bye: // only until the far end has read what was written to it
 			continue
 		case err == nil:
 			if m.Method == sip.Cancel {
