A release to a switch goes again where its connection proves to have been silent

Switches would see: a call held on, and its circuit with it, though its caller released it, when the BYE was written on a connection that had fallen silent. Cause: a BYE was repeated only if its connection ended within 0.5 s, but a silent connection is found after up to 3 s. A BYE kept for a switch could also cut a later try of the same call there. Evidence: TestCallersReleaseOnASilentConnectionGoesAgainOnTheNext and TestReleaseOfAnEarlierTryIsNotRepeatedWhereTheCallStands failed before. Why this works: a BYE is kept as long as the longest silence takes to be found, or until a test written after it is answered, and not repeated where the call is open.

--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -76,6 +76,7 @@
 // longest counts, less by an eighth with each later test.
 func (f *farEnd) tested(l *link, now policy.Tenths, id string) {
 	if l.testID != "" && id == l.testID {
+		l.byes = slices.DeleteFunc(l.byes, func(b bye) bool { return b.at < l.testAt }) // they were read before it
 		f.trip, f.measured, l.testID = max(now-l.testAt, f.trip-f.trip/8), true, ""
 	}
 }
@@ -218,7 +219,10 @@
 	a.linkOf[c] = sw
 	a.test(l)
 	for i := range f.owed {
-		a.out.Write(c, &f.owed[i])
+		if m := &f.owed[i]; !a.openAt(f, m) {
+			l.byes = append(l.byes, bye{now, *m})
+			a.out.Write(c, m)
+		}
 	}
 	f.owed = nil
 	waiting := f.waiting
@@ -240,6 +244,13 @@
 	a.settle()
 }
 
+// openAt tells that a call is being set up or stands at a switch: a release of an earlier try there would cut it.
+func (a *Agent) openAt(f *farEnd, release *sip.Message) bool {
+	id, err := readID(release.CallID)
+	k := a.calls[id]
+	return err == nil && k != nil && k.far == f.entry.ID && (k.state == Trying || k.state == Standing)
+}
+
 // unreached ends the route tries that wait for a connection to a switch.
 func (a *Agent) unreached(f *farEnd) {
 	for _, h := range f.waiting {
@@ -270,7 +281,7 @@
 	if f := a.far[sw]; f != nil {
 		if l := f.link(c); l != nil {
 			for i := range l.byes { // they may have crossed its close
-				if b := &l.byes[i]; now-b.at <= byeCrosses {
+				if b := &l.byes[i]; now-b.at <= byeCrosses && !a.openAt(f, &b.m) {
 					a.owe(f, &b.m)
 				}
 			}
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -100,3 +100,35 @@
 		t.Errorf("%d connections, to be fetched from ticket %d", n, r.a.far[1].fetchFrom)
 	}
 }
+
+// Guards against a caller's release that is lost on a connection to a switch that has fallen silent: it holds the circuit.
+func TestCallersReleaseOnASilentConnectionGoesAgainOnTheNext(t *testing.T) {
+	r, c, k := served(t)
+	link := r.linkTo(1)
+	r.silent[link] = true
+	k.callerEnded = true
+	r.a.FromCaller(r.now, r.now, c, r.bye(k.id, 16))
+	if k.switchReleased != 1 {
+		t.Fatalf("released %d times", k.switchReleased)
+	}
+	k.standsAt = 1 // it was not read
+	for range 200 {
+		r.pass(houseWork)
+		r.dialAll(9, 9)
+	}
+	if r.closed[link] == "" || k.switchReleased != 2 {
+		t.Errorf("closed %v, the switch was told %d times", r.closed, k.switchReleased)
+	}
+}
+
+// Guards against the release of an earlier try that is repeated to a switch where the call stands by now.
+func TestReleaseOfAnEarlierTryIsNotRepeatedWhereTheCallStands(t *testing.T) {
+	r, _, k := served(t)
+	link := r.linkTo(1)
+	r.a.far[1].link(link).byes = []bye{{r.now, *r.bye(k.id, 16)}}
+	r.linkDown(link)
+	r.dialAll(9, 9)
+	if k.switchReleased != 0 {
+		t.Error("cut")
+	}
+}
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -28,9 +28,9 @@
 
 	releasesMost = 4096 // not confirmed; the oldest is given up for one more
 
-	// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read.
-	// Switches need not answer a BYE.
-	byeCrosses = policy.Tenths(5000)
+	// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read, unless a test
+	// written after it was answered: that long it takes until a silent connection is found. Switches need not answer a BYE.
+	byeCrosses = askAfter + signMost + stallRoom
 )
 
 // bye is a release written to a switch.
