--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -33,6 +33,12 @@
 	redialFirst = policy.Tenths(1000) // waits between dials that no call asked for
 	redialMost  = policy.Tenths(8000) // a switch that is back must be known before its calls' releases are overdue
 
+	// A connection that held for less than heldLeast was short. After one a dial comes at once, since releases come on open connections
+	// only; after shortMost in a row it waits, redialFetch at most, so that a switch that accepts and resets is not dialled in a loop.
+	heldLeast   = policy.Tenths(10000)
+	shortMost   = 3
+	redialFetch = policy.Tenths(10000)
+
 	linksMost = 4    // connections to one switch; states of groups come on no more
 	owedMost  = 4096 // releases kept for a switch or for callers that cannot be reached
 )
@@ -95,6 +101,7 @@
 	pace      *reconnect.Pace
 	dialAt    policy.Tenths // the next dial that no call asks for
 	heardAt   policy.Tenths // of the switch, on any connection
+	short     int           // connections in a row that held for less than heldLeast
 	told      policy.Report // free circuits and size last told, for the log
 	trip      policy.Tenths // the way there and back, as tests measured it
 	measured  bool
@@ -280,6 +287,9 @@
 	delete(a.linkOf, c)
 	if f := a.far[sw]; f != nil {
 		if l := f.link(c); l != nil {
+			if f.short++; now-l.openAt >= heldLeast {
+				f.short = 0
+			}
 			for i := range l.byes { // they may have crossed its close
 				if b := &l.byes[i]; now-b.at <= byeCrosses && !a.openAt(f, &b.m) {
 					a.owe(f, &b.m)
@@ -289,10 +299,13 @@
 		f.links = slices.DeleteFunc(f.links, func(l *link) bool { return l.conn == c })
 		f.pace.Down(now)
 		f.dialAt = now
+		if f.short > shortMost {
+			f.dialAt = now + min(f.pace.Wait(), redialFetch)
+		}
 		if !whole {
 			f.fetchFrom = a.tickets + 1
 		}
-		if a.wanted(f) && (len(f.links) == 0 || f.fetchFrom != 0) { // at once: releases come on open connections only
+		if a.wanted(f) && now >= f.dialAt && (len(f.links) == 0 || f.fetchFrom != 0) {
 			a.fetch(f)
 		}
 	}
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -132,3 +132,20 @@
 		t.Error("cut")
 	}
 }
+
+// Guards against a loop of dials to a switch that accepts connections and resets them.
+func TestSwitchThatResetsEveryConnectionIsNotDialledInALoop(t *testing.T) {
+	r, _, _ := served(t)
+	r.linkDown(r.linkTo(1))
+	dials := 0
+	for range 1000 { // of 10 ms
+		for range len(r.dials) {
+			dials++
+			r.linkDown(r.dial(false, true))
+		}
+		r.pass(100)
+	}
+	if dials < 5 || dials > 50 {
+		t.Errorf("%d dials in 10 s", dials)
+	}
+}
