Calls set up on a connection that broke are asked after while they stand

Cause: a switch releases a call on the connection of its set-up. Where that fell silent the switch may take it for open, and repeats the release only on the next connection that opens. That was opened at once after the loss, before the call was over. Why this works: as long as a call stands that was set up on a broken connection, one more opens every 3 s; the bound is 8 s from the call's end.

--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -33,6 +33,11 @@
 	redialFirst = policy.Tenths(1000) // waits between dials that no call asked for
 	redialMost  = policy.Tenths(8000) // a switch that is back must be known before its calls' releases are overdue
 
+	// refetchEvery is how often one more connection is opened to a switch where calls stand that were set up on one that broke. Their
+	// release comes there first, as long as the switch takes it for open, and on the next that opens: the platform allows 8 s.
+	refetchEvery = policy.Tenths(30000)
+	lostMost     = 64 // connections that broke and are remembered for that
+
 	// A connection that held for less than heldLeast was short. After one a dial comes at once, since releases come on open connections
 	// only; after shortMost in a row it waits, redialFetch at most, so that a switch that accepts and resets is not dialled in a loop.
 	heldLeast   = policy.Tenths(10000)
@@ -98,6 +103,8 @@
 	// fetchFrom is the least ticket of a dial whose connection brings again what was lost on one that broke: switches repeat their
 	// releases on the next connection that opens, and on no other. 0: nothing was lost since the last one opened.
 	fetchFrom uint32
+	lost      []Conn        // connections that broke, on which calls were set up that may still stand
+	refetchAt policy.Tenths // when the next connection is opened for these
 	pace      *reconnect.Pace
 	dialAt    policy.Tenths // the next dial that no call asks for
 	heardAt   policy.Tenths // of the switch, on any connection
@@ -161,6 +168,27 @@
 	a.dial(f)
 }
 
+// remember remembers a connection that broke.
+func (f *farEnd) remember(c Conn, now policy.Tenths) {
+	if len(f.lost) >= lostMost {
+		f.lost = f.lost[1:]
+	}
+	f.lost = append(f.lost, c)
+	f.refetchAt = now + refetchEvery
+}
+
+// refetch asks for one more connection where calls stand that were set up on one that broke.
+func (a *Agent) refetch(f *farEnd) {
+	f.refetchAt = a.now + refetchEvery
+	for _, k := range a.calls {
+		if k.state == Standing && k.far == f.entry.ID && slices.Contains(f.lost, k.link) {
+			f.fetchFrom = a.tickets + 1
+			return
+		}
+	}
+	f.lost = nil
+}
+
 // full tells that the descriptors for switches are all in use.
 func (a *Agent) full() bool { return len(a.linkOf)+a.dialled >= a.linkMost }
 
@@ -304,6 +332,7 @@
 		}
 		if !whole {
 			f.fetchFrom = a.tickets + 1
+			f.remember(c, now)
 		}
 		if a.wanted(f) && now >= f.dialAt && (len(f.links) == 0 || f.fetchFrom != 0) {
 			a.fetch(f)
@@ -370,6 +399,9 @@
 				a.test(l)
 			}
 		}
+		if len(f.lost) > 0 && a.now >= f.refetchAt {
+			a.refetch(f)
+		}
 		if a.now >= f.dialAt && (f.fetchFrom != 0 || a.room(f, 0) == nil) {
 			a.fetch(f)
 		}
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	r.dial(false, true)
-	if r.pass(redialMost); len(r.dials) != 0 {
+	if len(r.dials) != 0 || r.a.far[1].fetchFrom != 0 {
 		t.Errorf("still dials %v", r.dials)
 	}
 }
@@ -149,3 +149,34 @@
 		t.Errorf("%d dials in 10 s", dials)
 	}
 }
+
+// Guards against the release of a call whose connection has fallen silent, and is taken for open by the switch: it ends long after the
+// connections that replaced that one were opened, and its release comes again on the next only.
+func TestReleaseOfACallSetUpOnALostConnectionIsFetchedWhenItComes(t *testing.T) {
+	const within = 80000 // the platform's bound where no release could be sent
+	r, old, _, k := twoLinks(t)
+	over := policy.Tenths(0)
+	for at := policy.Tenths(0); at < 130000 && k.callerReleased == 0; at += houseWork {
+		r.pass(houseWork)
+		for len(r.dials) > 0 {
+			c := r.dial(false, true)
+			if over != 0 && k.callerReleased == 0 {
+				r.a.FromSwitch(r.now, c, r.bye(k.id, 16))
+			}
+		}
+		if r.closed[old] != "" && over == 0 && at > 50000 {
+			over, k.standsAt = r.now, 0
+		}
+	}
+	if over == 0 || k.callerReleased != 1 || r.now-over > within {
+		t.Errorf("over at %d, told %d times by %d", over, k.callerReleased, r.now)
+	}
+	dialled := r.a.tickets
+	for range 400 {
+		r.pass(houseWork)
+		r.dialAll(9, 9)
+	}
+	if r.a.tickets != dialled {
+		t.Errorf("%d more dials, though nothing stands there", r.a.tickets-dialled)
+	}
+}
