A switch that hangs is listened to, and gets no set-up before its first word

Cause: while a switch hung, each new connection that its system accepted got a set-up, fell silent and was closed under it. When the switch went on it wrote its releases on connections that were closed, and its repetition on the next that it took, closed as well; no other opened for 3 s, or none at all after a restart. Why this works: up to two silent connections without a set-up are kept for 5.5 s and read; a set-up waits for the first word of a switch in doubt and goes elsewhere at once if none comes; the next connection opens 0.3 s after the first word of a switch that was silent; calls adopted after a restart are asked after like those whose connection broke.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -358,6 +358,9 @@
 	l := a.room(f, a.set.StreamsMost)
 	if l == nil {
 		f.waiting = append(f.waiting, k.handle)
+		if a.awaited(f) {
+			return
+		}
 		if a.dial(f); a.full() && !f.dialing { // nothing to wait for
 			a.offLink(k)
 			a.endTry(k.handle, policy.Unreached)
@@ -367,6 +370,7 @@
 	if l.tries++; l.tries == 1 {
 		l.busyAt = a.now
 	}
+	l.triedAt = a.now
 	k.link, k.seq = l.conn, uint32(k.tries)
 	left := max(1, (k.limitAt-a.now)/10)
 	a.out.Write(l.conn, &sip.Message{Method: sip.Invite, URI: k.uri, CallID: k.callID, CSeq: k.seq,
@@ -391,6 +395,9 @@
 // giveUpTry cancels the try that is out.
 func (a *Agent) giveUpTry(k *call) {
 	if k.link != 0 {
+		if f := a.far[k.far]; f != nil && f.link(k.link) != nil {
+			f.link(k.link).triedAt = a.now
+		}
 		a.out.Write(k.link, &sip.Message{Method: sip.Cancel, URI: k.uri, CallID: k.callID, CSeq: k.seq})
 	}
 	a.offLink(k)
@@ -421,9 +428,9 @@
 	if f == nil {
 		return
 	}
-	f.heardAt = now
+	f.heard(now)
 	if l := f.link(c); l != nil {
-		l.heardAt, l.askedAt, l.partAt = now, 0, 0
+		l.heardAt, l.askedAt, l.partAt, l.heard, l.silent = now, 0, 0, true, false
 		if m.Status != 0 && m.CSeqMethod == sip.Options {
 			f.tested(l, now, m.CallID)
 		}
@@ -445,6 +452,9 @@
 		passed := m.Answer(sip.OK)
 		a.out.Write(c, &passed)
 	}
+	if len(f.waiting) > 0 {
+		a.sendWaiting(f)
+	}
 	a.settle()
 }
 
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -230,6 +230,9 @@
 	k := &call{id: in.id, state: Standing, caller: o.conn, callID: m.CallID, uri: m.URI, far: in.at, stoodAt: a.now}
 	a.calls[k.id] = k
 	a.standing++
+	if f := a.far[in.at]; f != nil && f.refetchAt == 0 {
+		f.refetchAt = a.now + refetchEvery
+	}
 	if a.far[in.at] == nil || a.standing > overMost {
 		a.releaseCaller(k, causeTempFail)
 		a.become(k, Over)
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -23,6 +23,12 @@
 	signFirst = policy.Tenths(6000)  // where no test was answered yet
 	signMost  = policy.Tenths(20000) // a slow network must not have every connection closed again and again
 
+	// silentKeep is how long a silent connection is kept on which no set-up was written since it was heard last. Set-ups are given up by its
+	// close, but where its switch hangs, what that says when it goes
+	// on still comes there, and connections that are closed and opened meanwhile would only lie before it.
+	silentKeep = goneAfter
+	silentMost = 2 // so many to one switch; those beyond are closed and dialled again
+
 	// partMost is how long a message of a switch may take to be whole: what comes after it on the connection waits.
 	partMost = policy.Tenths(3000)
 
@@ -36,7 +42,8 @@
 	// refetchEvery is how often one more connection is opened to a switch where calls stand that were set up on one that broke. Their
 	// release comes there first, as long as the switch takes it for open, and on the next that opens: the platform allows 8 s.
 	refetchEvery = policy.Tenths(30000)
-	lostMost     = 64 // connections that broke and are remembered for that
+	refetchSoon  = policy.Tenths(3000) // and after the first word of a switch that was silent
+	lostMost     = 64                  // connections that broke and are remembered for that
 
 	// A connection that held for less than heldLeast was short. After one a dial comes at once, since releases come on open connections
 	// only; after shortMost in a row it waits, redialFetch at most, so that a switch that accepts and resets is not dialled in a loop.
@@ -54,6 +61,9 @@
 	openAt  policy.Tenths
 	heardAt policy.Tenths
 	askedAt policy.Tenths // 0 when no sign of life is asked for
+	triedAt policy.Tenths // when a set-up or the end of one was written on it last
+	heard   bool          // anything came on it
+	silent  bool          // it was owed for too long: the connection counts as lost, and is only listened to
 	testAt  policy.Tenths // when the last test was sent
 	testID  string        // and its id, "" once it was answered
 	partAt  policy.Tenths // since when a message lies half read, 0 when none does
@@ -105,6 +115,7 @@
 	fetchFrom uint32
 	lost      []Conn        // connections that broke, on which calls were set up that may still stand
 	refetchAt policy.Tenths // when the next connection is opened for these
+	resumes   bool          // nothing was heard of the switch since one of these broke
 	pace      *reconnect.Pace
 	dialAt    policy.Tenths // the next dial that no call asks for
 	heardAt   policy.Tenths // of the switch, on any connection
@@ -118,6 +129,9 @@
 func (a *Agent) room(f *farEnd, most int) *link {
 	var best *link
 	for _, l := range f.links {
+		if !l.heard && a.suspects(f) { // the switch may hang, and what is sent would lie there
+			continue
+		}
 		if a.doubtful(f, l) || most > 0 && l.tries >= most {
 			continue
 		}
@@ -149,6 +163,23 @@
 	a.out.Dial(f.entry.ID, f.ticket, f.entry.Address)
 }
 
+// oweAgain keeps the releases written lately on a connection that is lost for the next one.
+func (a *Agent) oweAgain(f *farEnd, l *link) {
+	for i := range l.byes {
+		if b := &l.byes[i]; a.now-b.at <= byeCrosses && !a.openAt(f, &b.m) {
+			a.owe(f, &b.m)
+		}
+	}
+	l.byes = nil
+}
+
+// loses notes that a connection is lost, and with it perhaps what the switch wrote last.
+func (a *Agent) loses(f *farEnd, l *link) {
+	a.oweAgain(f, l)
+	f.fetchFrom = a.tickets + 1
+	f.remember(l.conn, a.now)
+}
+
 // fetch dials one more connection to a switch. Where it has as many as it may, the one that was heard last the longest ago and has nothing
 // out on it makes room.
 func (a *Agent) fetch(f *farEnd) {
@@ -163,7 +194,6 @@
 			return
 		}
 		a.dropLinks(f, "a new connection to this switch is needed", func(l *link) bool { return l == idle })
-		return // its end asks for the dial
 	}
 	a.dial(f)
 }
@@ -174,19 +204,31 @@
 		f.lost = f.lost[1:]
 	}
 	f.lost = append(f.lost, c)
+	f.resumes = true
 	f.refetchAt = now + refetchEvery
 }
 
+// heard notes that a switch said something. One that hung may release calls now that ended meanwhile, on connections that were given up, so
+// the next is opened soon.
+func (f *farEnd) heard(now policy.Tenths) {
+	f.heardAt = now
+	if f.resumes {
+		f.resumes = false
+		f.refetchAt = min(f.refetchAt, now+refetchSoon)
+	}
+}
+
 // refetch asks for one more connection where calls stand that were set up on one that broke.
 func (a *Agent) refetch(f *farEnd) {
 	f.refetchAt = a.now + refetchEvery
 	for _, k := range a.calls {
-		if k.state == Standing && k.far == f.entry.ID && slices.Contains(f.lost, k.link) {
+		adopted := k.handle == 0 // set up in an earlier life, on a connection that may have been lost as well
+		if k.state == Standing && k.far == f.entry.ID && (adopted || slices.Contains(f.lost, k.link)) {
 			f.fetchFrom = a.tickets + 1
 			return
 		}
 	}
-	f.lost = nil
+	f.lost, f.refetchAt = nil, 0
 }
 
 // full tells that the descriptors for switches are all in use.
@@ -253,6 +295,9 @@
 	f.links = append(f.links, l)
 	a.linkOf[c] = sw
 	a.test(l)
+	if a.suspects(f) {
+		l.askedAt = now
+	}
 	for i := range f.owed {
 		if m := &f.owed[i]; !a.openAt(f, m) {
 			l.byes = append(l.byes, bye{now, *m})
@@ -260,12 +305,28 @@
 		}
 	}
 	f.owed = nil
+	a.sendWaiting(f)
+	if f.fetchFrom != 0 { // it was under way already when something was lost
+		a.fetch(f)
+	}
+	a.settle()
+}
+
+// openAt tells that a call is being set up or stands at a switch: a release of an earlier try there would cut it.
+func (a *Agent) openAt(f *farEnd, release *sip.Message) bool {
+	id, err := readID(release.CallID)
+	k := a.calls[id]
+	return err == nil && k != nil && k.far == f.entry.ID && (k.state == Trying || k.state == Standing)
+}
+
+// sendWaiting sends the set-ups that wait for a connection to a switch.
+func (a *Agent) sendWaiting(f *farEnd) {
 	waiting := f.waiting
 	f.waiting = nil
 	for _, h := range waiting {
 		k := a.byHandle[h]
 		switch {
-		case k == nil || k.state != Trying || k.link != 0 || k.far != sw:
+		case k == nil || k.state != Trying || k.link != 0 || k.far != f.entry.ID:
 		case a.out.Left(k.caller, k.callID):
 			a.left(k)
 			a.tally.Left++
@@ -273,17 +334,16 @@
 			a.setUp(k, f)
 		}
 	}
-	if f.fetchFrom != 0 { // it was under way already when something was lost
-		a.fetch(f)
-	}
-	a.settle()
 }
 
-// openAt tells that a call is being set up or stands at a switch: a release of an earlier try there would cut it.
-func (a *Agent) openAt(f *farEnd, release *sip.Message) bool {
-	id, err := readID(release.CallID)
-	k := a.calls[id]
-	return err == nil && k != nil && k.far == f.entry.ID && (k.state == Trying || k.state == Standing)
+// suspects tells that a switch may hang: nothing was heard of it since a connection was lost or came in doubt.
+func (a *Agent) suspects(f *farEnd) bool {
+	return f.resumes || slices.ContainsFunc(f.links, func(l *link) bool { return a.doubtful(f, l) })
+}
+
+// awaited tells that the first word on a connection is awaited, on which what waits can go then.
+func (a *Agent) awaited(f *farEnd) bool {
+	return slices.ContainsFunc(f.links, func(l *link) bool { return !l.heard && !l.silent })
 }
 
 // unreached ends the route tries that wait for a connection to a switch.
@@ -314,25 +374,21 @@
 	}
 	delete(a.linkOf, c)
 	if f := a.far[sw]; f != nil {
-		if l := f.link(c); l != nil {
+		l := f.link(c)
+		if l != nil {
 			if f.short++; now-l.openAt >= heldLeast {
 				f.short = 0
 			}
-			for i := range l.byes { // they may have crossed its close
-				if b := &l.byes[i]; now-b.at <= byeCrosses && !a.openAt(f, &b.m) {
-					a.owe(f, &b.m)
-				}
-			}
+			a.oweAgain(f, l)
 		}
-		f.links = slices.DeleteFunc(f.links, func(l *link) bool { return l.conn == c })
+		f.links = slices.DeleteFunc(f.links, func(other *link) bool { return other == l })
 		f.pace.Down(now)
 		f.dialAt = now
-		if f.short > shortMost {
+		if f.short > shortMost || l != nil && !l.heard {
 			f.dialAt = now + min(f.pace.Wait(), redialFetch)
 		}
-		if !whole {
-			f.fetchFrom = a.tickets + 1
-			f.remember(c, now)
+		if !whole && l != nil && !l.silent {
+			a.loses(f, l)
 		}
 		if a.wanted(f) && now >= f.dialAt && (len(f.links) == 0 || f.fetchFrom != 0) {
 			a.fetch(f)
@@ -391,18 +447,18 @@
 			case l.partAt != 0 && a.silentFor(l.partAt) > partMost:
 				a.dropLinks(f, "half a message and no more", func(o *link) bool { return o == l })
 			case a.unheard(l) > f.signWithin():
-				a.out.Note("a connection to " + board.Text(id) + " gives no sign of life")
-				a.dropLinks(f, "no sign of life", func(o *link) bool { return o == l })
+				a.silent(f, l)
 			case l.askedAt == 0 && quiet > most:
 				l.askedAt = a.now
 				a.out.Record(Record{Kind: SwitchSuspect, Conn: l.conn, Switch: id, Waited: quiet, Why: fmt.Sprintf("%d set-ups open on it", l.tries)})
 				a.test(l)
 			}
 		}
-		if len(f.lost) > 0 && a.now >= f.refetchAt {
+		if f.refetchAt != 0 && a.now >= f.refetchAt {
 			a.refetch(f)
 		}
-		if a.now >= f.dialAt && (f.fetchFrom != 0 || a.room(f, 0) == nil) {
+		needed := f.fetchFrom != 0 || a.room(f, 0) == nil
+		if len(f.waiting) > 0 && !a.awaited(f) || needed && a.now >= f.dialAt {
 			a.fetch(f)
 		}
 		if a.silentFor(f.heardAt) > goneAfter {
@@ -411,6 +467,29 @@
 	}
 }
 
+// silent acts on a connection that owes a sign of life for too long.
+func (a *Agent) silent(f *farEnd, l *link) {
+	if l.silent && a.unheard(l) <= silentKeep {
+		return
+	}
+	a.out.Note("a connection to " + board.Text(f.entry.ID) + " gives no sign of life")
+	if !l.heard { // those that wait for it were never sent
+		a.unreached(f)
+	}
+	kept := 0
+	for _, other := range f.links {
+		if other.silent {
+			kept++
+		}
+	}
+	if l.triedAt >= l.heardAt && l.triedAt != 0 || l.silent || kept >= silentMost {
+		a.dropLinks(f, "no sign of life", func(o *link) bool { return o == l })
+		return
+	}
+	l.silent = true
+	a.loses(f, l)
+}
+
 // bootAt is when a switch that started late did so, 0 where none is told.
 func bootAt(s board.Switch) policy.Tenths { return policy.Tenths(max(0, s.StartedMS)) * 10 }
 
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -286,13 +286,13 @@
 	a.out.Write(k.caller, m)
 }
 
-// forRelease lists the connections that have no copy of a release yet, the most likely read first: the call's own, those that are not suspect,
-// those that have proved to read, those on which set-ups came, and among equals those that were read or opened last.
+// forRelease lists the connections that have no copy of a release yet, the most likely read first: the call's own, those on which set-ups
+// came, those that are not suspect, and among equals those that were proved to be read, or opened, last.
 func (d *callerConns) forRelease(r *pendingRelease, now policy.Tenths) []*callerConn {
 	var open []*callerConn
 	for _, c := range slices.Backward(d.order) {
-		if o := d.conns[c]; o != nil && !slices.Contains(r.on, c) {
-			open = append(open, o)
+		if !slices.Contains(r.on, c) {
+			open = append(open, d.conns[c])
 		}
 	}
 	first := func(x, y bool) int {
