--- a/cmd/indigodrift/main.go
+++ b/cmd/indigodrift/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "indigodrift", Short: "A call controller for networks of exchanges", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), platformCommand(), checkCommand(), dayCommand(), auditCommand(), standinCommand(), numbersCommand(), ledgerCommand())
+	root.AddCommand(serveCommand(), platformCommand(), checkCommand(), dayCommand(), auditCommand(), standinCommand(), numbersCommand(), ledgerCommand(), soakCommand())
 	err := root.Execute()
 	var code exit
 	switch {
--- a/cmd/indigodrift/platform.go
+++ b/cmd/indigodrift/platform.go
@@ -25,11 +25,15 @@
 )
 
 func platformCommand() *cobra.Command {
-	return &cobra.Command{Use: "platform", Short: "Run one call controller on the platform, as GW_CONFIG tells", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return onPlatform() }}
+	plant := ""
+	c := &cobra.Command{Use: "platform", Short: "Run one call controller on the platform, as GW_CONFIG tells", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return onPlatform(plant) }}
+	c.Flags().StringVar(&plant, "plant", "", "have a fault on purpose: release, answer, early")
+	_ = c.Flags().MarkHidden("plant") // the flag exists
+	return c
 }
 
-func onPlatform() error {
+func onPlatform(plant string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -51,6 +55,9 @@
 			return fmt.Errorf("%s is %q, the configuration says %q", told.env, v, told.here)
 		}
 	}
+	if err := m.Plant(plant); err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(m.MemoryTarget())
 	ln, err := net.Listen("tcp", m.Listen)
--- /dev/null
+++ b/cmd/indigodrift/soak.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"indigodrift/internal/soak"
+
+	"github.com/spf13/cobra"
+)
+
+func soakCommand() *cobra.Command {
+	c := &cobra.Command{Use: "soak", Short: "Run real controllers among faults drawn from seeds, and judge the rules from their sockets", Args: cobra.NoArgs}
+	o := soak.Options{Out: os.Stdout}
+	c.Flags().Uint64Var(&o.From, "from", 1, "first seed")
+	c.Flags().IntVar(&o.Seeds, "seeds", 5, "how many seeds")
+	c.Flags().IntVar(&o.Parallel, "parallel", 2, "runs side by side")
+	c.Flags().DurationVar(&o.Length, "length", 12*time.Second, "time with calls and faults in each run")
+	c.Flags().StringVar(&o.Folder, "keep", "", "folder for events and logs of the controllers")
+	c.Flags().StringVar(&o.Plant, "plant", "", "a fault the controllers have on purpose: release, answer, early")
+	c.RunE = func(*cobra.Command, []string) error {
+		program, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("own program: %w", err)
+		}
+		o.Program = program
+		ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer cancel()
+		results, err := soak.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		broken := 0
+		for _, r := range results {
+			if len(r.Breaches) > 0 || r.Err != nil {
+				broken++
+			}
+		}
+		fmt.Fprintf(o.Out, "%d seeds, %d not kept\n", len(results), broken)
+		if broken > 0 {
+			return exit(1)
+		}
+		return nil
+	}
+	return c
+}
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -24,6 +26,7 @@
 	ConnectMost time.Duration // a connection is passed on after a random wait up to this
 	PieceMost   int           // octets are passed in pieces of at most so many, 0: as they come
 	PieceWait   time.Duration // between two pieces, at most
+	PieceAll    time.Duration // and for the pieces of what was read at once all together, so that a flood is not held up
 }
 
 // Proxy passes connections from one address to another.
@@ -31,6 +34,10 @@
 	address string
 	shape   Shape
 
+	// Ended, if set before the first connection, is called when the near side of a connection has ended, with the address from which
+	// the target sees it.
+	Ended func(from string)
+
 	mu     sync.Mutex
 	random *rand.Rand
 	target string
@@ -108,21 +115,22 @@
 // Reset resets the connections that are open now, at both ends.
 func (p *Proxy) Reset() { p.each((*Link).reset) }
 
-// ResetOne resets one of the connections that are open now.
-func (p *Proxy) ResetOne() { p.one((*Link).reset) }
+// ResetOne resets one of the connections that are open now, and returns the address from which its target sees it, "" where there is none.
+func (p *Proxy) ResetOne() string { return p.one((*Link).reset) }
 
-// SilenceOne silences one of the connections that are open now.
-func (p *Proxy) SilenceOne() { p.one(func(l *Link) { l.silent.Store(true) }) }
+// SilenceOne silences one of the connections that are open now, and returns the address from which its target sees it.
+func (p *Proxy) SilenceOne() string { return p.one(func(l *Link) { l.silent.Store(true) }) }
 
-func (p *Proxy) one(do func(*Link)) {
+func (p *Proxy) one(do func(*Link)) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for l := range p.links {
-		if !l.silent.Load() {
+		if l.far != nil && !l.silent.Load() {
 			do(l)
-			return
+			return l.far.LocalAddr().String()
 		}
 	}
+	return ""
 }
 
 func (p *Proxy) each(do func(*Link)) {
@@ -213,6 +221,10 @@
 		return
 	}
 	time.Sleep(p.drawn(p.shape.ConnectMost))
+	if PeerClosed(near) { // whoever dialled has given up: the connection never came up
+		near.Close()
+		return
+	}
 	far, err := net.DialTimeout("tcp", target, dialWithin)
 	if err != nil {
 		l.reset()
@@ -226,12 +238,36 @@
 		l.close()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(l, near, far) })
+	both.Go(func() {
+		p.copy(l, near, far)
+		if p.Ended != nil {
+			p.Ended(far.LocalAddr().String())
+		}
+	})
 	both.Go(func() { p.copy(l, far, near) })
 	both.Wait()
 	l.close()
 }
 
+// PeerClosed tells whether the far end of a TCP connection has closed it, though octets of it may lie unread.
+func PeerClosed(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			closed = info.State != unix.BPF_TCP_ESTABLISHED
+		}
+	})
+	return closed || err != nil
+}
+
 // copy passes octets one way. At their end the other side's end is passed on as well, a reset as a reset; on a silent connection
 // nothing is, and it stays open for the side that has not closed it.
 func (p *Proxy) copy(l *Link, from, to net.Conn) {
@@ -257,6 +293,7 @@
 }
 
 func (p *Proxy) write(l *Link, to net.Conn, b []byte) {
+	left := p.shape.PieceAll
 	for len(b) > 0 && !l.silent.Load() {
 		n := len(b)
 		if p.shape.PieceMost > 0 {
@@ -266,7 +303,9 @@
 			return
 		}
 		if b = b[n:]; len(b) > 0 && p.shape.PieceMost > 0 {
-			time.Sleep(p.drawn(p.shape.PieceWait))
+			wait := min(left, p.drawn(p.shape.PieceWait))
+			left -= wait
+			time.Sleep(wait)
 		}
 	}
 }
--- a/internal/platform/machine.go
+++ b/internal/platform/machine.go
@@ -25,6 +25,7 @@
 	Limits              Limits
 	Known               []board.Event
 	Settled             deployment.Settled
+	planted             string
 }
 
 // ErrMachine tells that the configuration cannot be used.
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -518,8 +518,14 @@
 
 // Write queues a message on a connection.
 func (h *hands) Write(to b2bua.Conn, m *sip.Message) {
-	if w := h.wire(to); w != nil && !w.put(m) {
-		(*Station)(h).say("a far end reads too slowly")
+	w, copies := h.wire(to), 1
+	if h.m.planted != "" && h.callers[to] != nil {
+		copies = h.m.copies(m)
+	}
+	for range copies {
+		if w != nil && !w.put(m) {
+			(*Station)(h).say("a far end reads too slowly")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/soak/intruder.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"indigodrift/internal/sip"
+)
+
+const servedWithin = 3 * time.Second // what a bad client is owed within
+
+// intrusions are what bad clients send. Each is owed a refusal or a close; never an answer that it stands.
+var intrusions = []struct {
+	name string
+	send func(id string) []byte
+}{
+	{"nothing", func(string) []byte { return nil }},
+	{"noise", func(string) []byte { return bytes.Repeat([]byte{0, 255, '\r', 'x'}, 100) }},
+	{"half a message", func(id string) []byte {
+		m := badSetUp(id)
+		b := sip.Append(nil, &m)
+		return b[:len(b)/2]
+	}},
+	{"a line without end", func(string) []byte { return bytes.Repeat([]byte("INVITE "), 4000) }},
+	{"a negative length", func(string) []byte {
+		return []byte("INVITE sip:1@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: -5\r\n\r\n")
+	}},
+	{"a huge length", func(string) []byte {
+		return []byte("INVITE sip:1@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 60000000\r\n\r\n")
+	}},
+	{"no such class", func(id string) []byte {
+		m := badSetUp(id)
+		m.Fields[0].Value = "no such class"
+		return sip.Append(nil, &m)
+	}},
+	{"a time that is no number", func(id string) []byte {
+		m := badSetUp(id)
+		m.Fields[1].Value = "NaN"
+		return sip.Append(nil, &m)
+	}},
+	{"no id", func(string) []byte {
+		m := badSetUp("")
+		return sip.Append(nil, &m)
+	}},
+}
+
+func badSetUp(id string) sip.Message {
+	return sip.Message{Method: sip.Invite, URI: "sip:7f3a9c21e0b4d655@net", CallID: id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("offer"),
+		Fields: []sip.Field{{Name: "Priority-Class", Value: className}, {Name: "Expires-Ms", Value: "500"}, {Name: "P-Trunk-Info", Value: "dest:1;width:1;via:-1"}}}
+}
+
+// intrude has one bad client connect, send and wait for what it is owed.
+func intrude(log *Log, controller int, address string, r *rand.Rand) {
+	what := intrusions[r.IntN(len(intrusions))]
+	id := fmt.Sprintf("bad%05x%08x", controller, r.Uint32())
+	c, err := net.DialTimeout("tcp", address, dialWithin)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	began := log.Now()
+	_ = c.SetDeadline(time.Now().Add(2 * servedWithin)) // else the read fails
+	_, _ = c.Write(what.send(id))                       // a close meanwhile is what is owed
+	in := sip.NewReader(c)
+	m, err := in.Read()
+	for err == nil && m.Status == 0 { // a release of some call is no answer
+		m, err = in.Read()
+	}
+	status := m.Status
+	if err != nil && !isTimeout(err) {
+		status = 1 // closed
+	}
+	log.Add(Event{Kind: ClientServed, Controller: controller, Status: status, Span: log.Now() - began, Text: what.name})
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(net.Error) //nolint:errorlint // as the connection gives it
+	return ok && t.Timeout()
+}
+
+// idle connects and says nothing until the controller closes the connection.
+func idle(address string, stop <-chan struct{}) {
+	c, err := net.DialTimeout("tcp", address, dialWithin)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	closed := make(chan struct{})
+	go func() {
+		var b [1]byte
+		_, _ = c.Read(b[:]) // its end
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-stop:
+	}
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,630 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"indigodrift/internal/board"
+	"indigodrift/internal/sip"
+)
+
+// Rule names what a breach breaks.
+type Rule string
+
+// The rules, from the protocol and its terms.
+const (
+	RuleAnswered    Rule = "a call taken gets one final answer in time"
+	RuleServedTrue  Rule = "what stands has the answer of a switch"
+	RuleOneTry      Rule = "no two tries out at once"
+	RuleDrain       Rule = "nothing new to a switch past the grace once it drains"
+	RuleCold        Rule = "no cold switch is pushed over"
+	RuleReleaseTime Rule = "the release time is awaited"
+	RuleTold        Rule = "the caller of a call that is over is told within 1 s of its release"
+	RuleToldLost    Rule = "the caller of a call that is over is told within 8 s"
+	RuleNoCaller    Rule = "no set-up that no caller sent, none to the own exchange"
+	RuleBadClient   Rule = "a bad client has a refusal or a close within 3 s"
+	RuleCrash       Rule = "no controller ends by itself"
+	RuleReady       Rule = "a controller is ready within 10 s"
+	RuleLimits      Rule = "memory and descriptors stay within their limits"
+)
+
+const (
+	slack       = 50 * time.Millisecond // by which every time limit grows
+	passMost    = 50 * time.Millisecond // the way through proxies and pieces
+	lateMost    = 500 * time.Millisecond
+	toldWithin  = time.Second
+	toldLost    = 8 * time.Second
+	transitMost = 300 * time.Millisecond // what was written so shortly before a connection was lost may be lost with it
+	termTaken   = 700 * time.Millisecond
+	linesMost   = 40 // of a timeline
+)
+
+// Breach is one rule that was broken.
+type Breach struct {
+	Rule       Rule
+	Controller int
+	Call       string
+	What       string
+	Timeline   []string
+}
+
+func (b Breach) String() string {
+	text := fmt.Sprintf("%s: n%d", b.Rule, b.Controller)
+	if b.Call != "" {
+		text += " call " + b.Call
+	}
+	return text + ": " + b.What
+}
+
+// callView is all that was seen of one call.
+type callView struct {
+	id         string
+	controller int
+	events     []Event
+}
+
+// judge holds what was seen against the rules.
+type judge struct {
+	plan     Plan
+	events   []Event
+	calls    map[string]*callView
+	order    []string
+	lostAt   map[int]time.Duration // connections to switches, and callers' connections that are silenced
+	shutAt   map[int]time.Duration // connections to switches that their controller has closed
+	opened   map[int]time.Duration // callers' connections
+	closed   map[int]time.Duration
+	whose    map[int]int // callers' connections, by controller
+	lives    [][]span    // of controllers: from ready to end
+	stalls   []Event
+	breaches []Breach
+	end      time.Duration
+}
+
+type span struct{ from, to time.Duration }
+
+const never = time.Duration(math.MaxInt64)
+
+// Judge judges a run from what callers, switches, the board and the rig saw.
+func Judge(plan Plan, events []Event) []Breach {
+	j := &judge{plan: plan, events: events, calls: map[string]*callView{}, lostAt: map[int]time.Duration{}, shutAt: map[int]time.Duration{}, opened: map[int]time.Duration{},
+		closed: map[int]time.Duration{}, whose: map[int]int{}, lives: make([][]span, plan.Controllers)}
+	if len(events) > 0 {
+		j.end = events[len(events)-1].At
+	}
+	j.index()
+	for _, id := range j.order {
+		k := j.calls[id]
+		j.answered(k)
+		j.tries(k)
+		j.told(k)
+	}
+	j.drains()
+	j.cold()
+	j.controllers()
+	return j.breaches
+}
+
+func (j *judge) index() {
+	ready := make([]time.Duration, j.plan.Controllers)
+	for _, e := range j.events {
+		if e.Call != "" {
+			k := j.calls[e.Call]
+			if k == nil {
+				k = &callView{id: e.Call, controller: e.Controller}
+				j.calls[e.Call] = k
+				j.order = append(j.order, e.Call)
+			}
+			k.events = append(k.events, e)
+		}
+		switch e.Kind {
+		case LinkLost, CallerSilenced:
+			if _, before := j.lostAt[e.Conn]; !before {
+				j.lostAt[e.Conn] = e.At
+			}
+		case LinkClosed:
+			j.shutAt[e.Conn] = e.At
+		case CallerOpened:
+			j.opened[e.Conn], j.whose[e.Conn] = e.At, e.Controller
+		case CallerClosed:
+			j.closed[e.Conn] = e.At
+		case ControllerReady:
+			ready[e.Controller] = e.At
+			j.lives[e.Controller] = append(j.lives[e.Controller], span{e.At, never})
+		case ControllerEnded:
+			if n := len(j.lives[e.Controller]); n > 0 {
+				j.lives[e.Controller][n-1].to = e.At
+			}
+		case ControllerTold:
+			if n := len(j.lives[e.Controller]); n > 0 && e.Text == "killed" {
+				j.lives[e.Controller][n-1].to = min(j.lives[e.Controller][n-1].to, e.At)
+			}
+		case RigStalled:
+			j.stalls = append(j.stalls, e)
+		}
+	}
+}
+
+// late is how long the rig itself stood still in a span: what it saw then was late by no fault of a controller.
+func (j *judge) late(from, to time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, s := range j.stalls {
+		if s.At >= from && s.At-s.Span <= to {
+			sum += s.Span
+		}
+	}
+	return sum
+}
+
+// aliveThrough tells whether one life of a controller lasts through a span.
+func (j *judge) aliveThrough(controller int, from, to time.Duration) bool {
+	return slices.ContainsFunc(j.lives[controller], func(l span) bool { return l.from <= from && l.to >= to })
+}
+
+func (j *judge) breach(rule Rule, k *callView, controller int, format string, a ...any) {
+	b := Breach{Rule: rule, Controller: controller, What: fmt.Sprintf(format, a...)}
+	if k != nil {
+		b.Call = k.id
+		b.Timeline = j.timeline(k)
+	}
+	j.breaches = append(j.breaches, b)
+}
+
+// timeline is what was seen of a call, of its connections and of its controller meanwhile.
+func (j *judge) timeline(k *callView) []string {
+	conns := map[int]bool{}
+	from, to := never, time.Duration(0)
+	for _, e := range k.events {
+		if e.Conn != 0 {
+			conns[e.Conn] = true
+		}
+		from, to = min(from, e.At), max(to, e.At)
+	}
+	var lines []string
+	for _, e := range j.events {
+		about := e.Call == k.id
+		if !about && e.At >= from-2*time.Second && e.At <= to+10*time.Second {
+			switch e.Kind {
+			case CallerOpened, CallerClosed, CallerSilenced, LinkLost:
+				about = conns[e.Conn] || e.Kind != LinkLost && e.Controller == k.controller
+			case ControllerStarted, ControllerReady, ControllerEnded, ControllerTold:
+				about = e.Controller == k.controller
+			case Fault, RigStalled:
+				about = true
+			}
+		}
+		if about {
+			lines = append(lines, e.String())
+		}
+	}
+	if len(lines) > linesMost {
+		lines = append(lines[:linesMost], "...")
+	}
+	return lines
+}
+
+func (k *callView) first(kind Kind) (Event, bool) {
+	i := slices.IndexFunc(k.events, func(e Event) bool { return e.Kind == kind })
+	if i < 0 {
+		return Event{}, false
+	}
+	return k.events[i], true
+}
+
+// answered judges the final answer of a call.
+func (j *judge) answered(k *callView) {
+	var sent, last Event
+	var answer, unanswered, given Event
+	answers := 0
+	for _, e := range k.events {
+		switch e.Kind {
+		case CallSent:
+			if sent.Call == "" {
+				sent = e
+			}
+			last, unanswered = e, Event{}
+		case CallAnswered:
+			if answers++; answers == 1 {
+				answer = e
+			}
+		case CallUnanswered:
+			unanswered = e
+		case CallGivenUp:
+			given = e
+		}
+	}
+	if sent.Call == "" {
+		if answers > 0 {
+			j.breach(RuleServedTrue, k, k.controller, "an answer to a call that nobody placed")
+		}
+		return
+	}
+	if answers > 1 {
+		j.breach(RuleAnswered, k, k.controller, "%d final answers", answers)
+	}
+	if answers > 0 && answer.Status == sip.OK {
+		j.servedTrue(k, answer)
+	}
+	if given.Call != "" && (answers == 0 || answer.At > given.At) {
+		return
+	}
+	deadline := sent.At + sent.Span + lateMost + slack + passMost
+	deadline += j.late(sent.At, deadline)
+	switch {
+	case answers > 0 && answer.At > deadline:
+		j.breach(RuleAnswered, k, k.controller, "answered %v after it was sent, its time was %v", (answer.At - sent.At).Round(time.Millisecond), sent.Span)
+	case answers > 0 || j.excused(last, unanswered, deadline):
+	case unanswered.Call != "":
+		j.breach(RuleAnswered, k, k.controller, "its connection ended %v after it was sent, with no answer: %s", (unanswered.At - last.At).Round(time.Millisecond), unanswered.Text)
+	case j.end > deadline:
+		j.breach(RuleAnswered, k, k.controller, "no answer within %v", sent.Span)
+	}
+}
+
+// servedTrue judges that what stands has the description that a switch gave for this call.
+func (j *judge) servedTrue(k *callView, answer Event) {
+	for _, e := range k.events {
+		if e.Kind == TryEnded && e.Status == sip.OK && AnswerBody(e.Switch, k.id) == answer.Text {
+			return
+		}
+	}
+	j.breach(RuleServedTrue, k, k.controller, "the caller read %q", answer.Text)
+}
+
+// excused tells that a set-up without an answer is not lost: the rig took its connection away or killed the controller, it crossed a close and found no
+// controller that takes it again, or it was never taken.
+func (j *judge) excused(sent, unanswered Event, deadline time.Duration) bool {
+	if lost, ok := j.lostAt[sent.Conn]; ok && lost <= deadline {
+		return true
+	}
+	for _, e := range j.events {
+		if e.Kind == ControllerTold && e.Controller == sent.Controller && e.Text == "killed" && e.At >= sent.At-slack && e.At <= deadline && !j.planned(e) {
+			return true
+		}
+	}
+	if unanswered.Call == "" {
+		return false
+	}
+	return unanswered.At-sent.At <= crossWithin+slack+j.late(sent.At, unanswered.At)
+}
+
+// planned tells whether SIGKILL is the end of a planned restart.
+func (j *judge) planned(kill Event) bool {
+	for _, e := range slices.Backward(j.events) {
+		if e.At < kill.At && e.Controller == kill.Controller {
+			switch {
+			case e.Kind == ControllerTold && e.Text == "terminated":
+				return true
+			case e.Kind == ControllerStarted:
+				return false
+			}
+		}
+	}
+	return false
+}
+
+// try is one set-up at a switch.
+type try struct {
+	arrived Event
+	ended   time.Duration // never where it did not end
+	end     Kind
+	status  int
+	lost    bool // its connection was silenced: the switch cannot know of its end
+	delayed bool // it may have lain unread
+}
+
+// tries judges the tries of a call.
+func (j *judge) tries(k *callView) {
+	var all []*try
+	for _, e := range k.events {
+		switch e.Kind {
+		case TryArrived:
+			all = append(all, &try{arrived: e, ended: never, delayed: e.Span > 0})
+		case TryEnded, TryGivenUp:
+			for _, t := range all {
+				if t.arrived.Conn == e.Conn && t.arrived.Switch == e.Switch && t.ended == never {
+					t.ended, t.end, t.status = e.At, e.Kind, e.Status
+					break
+				}
+			}
+		}
+	}
+	sent, placed := k.first(CallSent)
+	for i, t := range all {
+		if lost, ok := j.lostAt[t.arrived.Conn]; ok && lost <= t.ended {
+			t.lost, t.ended, t.end = true, lost, TryGivenUp
+		}
+		own := int(t.arrived.Switch&0xffff) <= j.plan.Controllers && int(t.arrived.Switch&0xffff)-1 == k.controller
+		if !placed || sent.At > t.arrived.At || t.arrived.Text != "offer of "+k.id || own {
+			j.breach(RuleNoCaller, k, k.controller, "a set-up at %s that no caller sent, with %q", board.Text(t.arrived.Switch), t.arrived.Text)
+		}
+		if i > 0 && !t.delayed && !all[i-1].delayed {
+			j.follows(k, all[i-1], t)
+		}
+	}
+}
+
+// follows judges a try against the one before it.
+func (j *judge) follows(k *callView, before, t *try) {
+	room := slack + passMost + j.late(before.arrived.At, t.arrived.At)
+	if before.ended > t.arrived.At+room {
+		j.breach(RuleOneTry, k, k.controller, "a set-up at %s at %.3f while one is out at %s since %.3f", board.Text(t.arrived.Switch), t.arrived.At.Seconds(),
+			board.Text(before.arrived.Switch), before.arrived.At.Seconds())
+		return
+	}
+	if before.end == TryGivenUp && !before.lost && t.arrived.At-before.ended < releaseGuard-room {
+		j.breach(RuleReleaseTime, k, k.controller, "sent again %v after the try was given up", (t.arrived.At - before.ended).Round(time.Millisecond))
+	}
+}
+
+// usableFrom is the first instant from which on a caller's connection to a controller is open for a span; false when there is none.
+func (j *judge) usableFrom(controller int, from, span time.Duration) (time.Duration, bool) {
+	best, found := never, false
+	for conn, whose := range j.whose {
+		if whose != controller {
+			continue
+		}
+		at, until := max(from, j.opened[conn]), never
+		if closed, ok := j.closed[conn]; ok {
+			until = closed
+		}
+		if lost, ok := j.lostAt[conn]; ok {
+			until = min(until, lost-transitMost)
+		}
+		if at < best && at+span <= until {
+			best, found = at, true
+		}
+	}
+	return best, found
+}
+
+// told judges that the caller of a call that stood and is over knows so.
+func (j *judge) told(k *callView) {
+	answer, ok := k.first(CallAnswered)
+	if !ok || answer.Status != sip.OK {
+		return
+	}
+	toldAt, standsAt := never, uint32(0)
+	for _, e := range k.events {
+		switch e.Kind {
+		case CallToldOver, CallReleased, CallGivenUp:
+			toldAt = min(toldAt, e.At)
+		case CallStood:
+			if AnswerBody(e.Switch, k.id) == answer.Text {
+				standsAt = e.Switch
+			}
+		}
+	}
+	known := answer.At // to the life of the controller that was told last
+	for _, e := range k.events {
+		if e.Kind == CallAnnounced {
+			known = e.At
+		}
+	}
+	for _, e := range k.events {
+		switch {
+		case e.Switch != standsAt:
+		case e.Kind == ReleaseWritten:
+			j.toldOfRelease(k, e, toldAt)
+		case e.Kind == CallOver && e.Text != "released by the controller":
+			j.toldOfEnd(k, e.At, known, toldAt)
+		}
+	}
+}
+
+// toldOfRelease judges one release that a switch wrote.
+func (j *judge) toldOfRelease(k *callView, written Event, toldAt time.Duration) {
+	if lost, ok := j.lostAt[written.Conn]; ok && lost <= written.At+transitMost {
+		return
+	}
+	if shut, ok := j.shutAt[written.Conn]; ok && shut <= written.At+slack+passMost { // it crossed the close
+		return
+	}
+	from, ok := j.usableFrom(k.controller, written.At, toldWithin+slack+passMost)
+	if !ok {
+		return
+	}
+	if j.plan.ConnectMost > 0 { // the connection may carry it that much later
+		from += j.plan.ConnectMost
+	}
+	deadline := from + toldWithin + slack + passMost
+	deadline += j.late(written.At, deadline)
+	if toldAt <= deadline || !j.aliveThrough(k.controller, written.At, deadline) || j.end < deadline {
+		return
+	}
+	j.breach(RuleTold, k, k.controller, "release written at %.3f, told %s", written.At.Seconds(), whenTold(toldAt))
+}
+
+// toldOfEnd judges the end of a call whose release may never have been sent.
+func (j *judge) toldOfEnd(k *callView, ended, known, toldAt time.Duration) {
+	over := max(ended, known)
+	deadline := over + toldLost + slack + passMost
+	deadline += j.late(over, deadline)
+	if toldAt <= deadline || !j.aliveThrough(k.controller, known, deadline) || j.end < deadline {
+		return
+	}
+	if from, ok := j.usableFrom(k.controller, over, toldWithin+slack+passMost); !ok || from+toldWithin+slack+passMost > deadline {
+		return
+	}
+	j.breach(RuleToldLost, k, k.controller, "over at %.3f, told %s", over.Seconds(), whenTold(toldAt))
+}
+
+func whenTold(at time.Duration) string {
+	if at == never {
+		return "never"
+	}
+	return fmt.Sprintf("at %.3f", at.Seconds())
+}
+
+// toldBy is the instant at which an event of the list counts as told to a controller.
+func (j *judge) toldBy(controller int, number uint64, changed time.Duration) time.Duration {
+	bound, from, span := changed, time.Duration(0), time.Duration(0)
+	lost := 0
+	for _, e := range j.events {
+		if e.Controller != controller {
+			continue
+		}
+		switch e.Kind {
+		case BoardLost:
+			if lost++; lost == 1 {
+				from, span = e.At, 0
+			}
+			span = max(span, e.Span)
+		case BoardBack:
+			if lost--; lost == 0 && from <= bound+slack && e.At+span >= bound {
+				bound = e.At + span
+			}
+		case ControllerStarted: // what came before is in its configuration
+			if e.At >= changed {
+				bound = min(bound, e.At)
+			}
+		}
+	}
+	if lost > 0 && from <= bound+slack {
+		return never
+	}
+	for _, e := range j.events {
+		if e.Kind == ListTold && e.Controller == controller && e.Number == number {
+			return min(bound, e.At)
+		}
+	}
+	return bound
+}
+
+// drains judges set-ups to switches that drain or are gone.
+func (j *judge) drains() {
+	type period struct{ from, to time.Duration }
+	for controller := range j.plan.Controllers {
+		closed := map[uint32][]period{}
+		for _, e := range j.events {
+			if e.Kind != ListChanged {
+				continue
+			}
+			told := j.toldBy(controller, e.Number, e.At)
+			all := closed[e.Switch]
+			switch {
+			case board.State(e.Status) != board.Ready && (len(all) == 0 || all[len(all)-1].to != never):
+				closed[e.Switch] = append(all, period{told, never})
+			case board.State(e.Status) == board.Ready && len(all) > 0 && all[len(all)-1].to == never:
+				all[len(all)-1].to = e.At
+			}
+		}
+		for _, e := range j.events {
+			if e.Kind != TryArrived || e.Controller != controller {
+				continue
+			}
+			for _, p := range closed[e.Switch] {
+				from := p.from
+				if from == never {
+					continue
+				}
+				from += drainGrace + slack + passMost + e.Span
+				from += j.late(p.from, from)
+				if e.At > from && e.At < p.to {
+					j.breach(RuleDrain, j.calls[e.Call], controller, "a set-up at %s at %.3f, told at %.3f that it drains or is gone", board.Text(e.Switch), e.At.Seconds(), p.from.Seconds())
+				}
+			}
+		}
+	}
+}
+
+// cold judges what all controllers together sent to a switch that had just started.
+func (j *judge) cold() {
+	born := map[uint32]time.Duration{}
+	var began time.Time
+	_ = began
+	for _, e := range j.events {
+		if e.Kind == ListChanged && e.Span > 0 && board.State(e.Status) == board.Ready {
+			if _, before := born[e.Switch]; !before {
+				born[e.Switch] = e.At - listLater
+			}
+		}
+	}
+	arrived := map[uint32][]time.Duration{}
+	for _, e := range j.events {
+		if at, ok := born[e.Switch]; ok && e.Kind == TryArrived && e.At < at+rampTime {
+			arrived[e.Switch] = append(arrived[e.Switch], e.At)
+		}
+	}
+	// What a warm switch does in the time: all circuits of all groups turned over, and as much again for its own exchange's calls.
+	carried := float64(j.plan.Controllers*j.plan.Switches.Circuits) / (j.plan.Switches.HoldMax / 2).Seconds()
+	for _, id := range slices.SortedFunc(keys(arrived), cmp.Compare[uint32]) {
+		for i, at := range arrived[id] {
+			n := 0
+			for _, other := range arrived[id][i:] {
+				if other-at < tipAfter {
+					n++
+				}
+			}
+			strength := coldFrom + (1-coldFrom)*min(1, (at-born[id]).Seconds()/rampTime.Seconds())
+			bears := tipMultiple * strength * 2 * carried * tipAfter.Seconds()
+			if float64(n) > bears+3*math.Sqrt(bears)+3 {
+				j.breach(RuleCold, nil, -1, "%d set-ups in %v to %s, which bears %.1f", n, tipAfter, board.Text(id), bears)
+				break
+			}
+		}
+	}
+}
+
+func keys[K comparable, V any](m map[K]V) func(func(K) bool) {
+	return func(yield func(K) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// controllers judges crashes, starts and bad clients.
+func (j *judge) controllers() {
+	started := make([]time.Duration, j.plan.Controllers)
+	ready := make([]bool, j.plan.Controllers)
+	for i := range ready {
+		ready[i] = true
+	}
+	for _, e := range j.events {
+		switch e.Kind {
+		case ControllerStarted:
+			started[e.Controller], ready[e.Controller] = e.At, false
+		case ControllerReady:
+			ready[e.Controller] = true
+			if e.Span > readyWithin+j.late(started[e.Controller], e.At) {
+				j.breach(RuleReady, nil, e.Controller, "ready after %v", e.Span)
+			}
+		case ControllerEnded:
+			if e.Status != 0 {
+				j.breach(RuleCrash, nil, e.Controller, "%s at %.3f", e.Text, e.At.Seconds())
+			}
+			ready[e.Controller] = true // the end was judged
+		case ClientServed:
+			if e.Status == sip.OK || e.Span > servedWithin+slack+j.late(e.At-e.Span, e.At) || e.Status == 0 {
+				if !j.aliveThrough(e.Controller, e.At-e.Span, e.At) {
+					continue
+				}
+				j.breach(RuleBadClient, nil, e.Controller, "%s: status %d after %v", e.Text, e.Status, e.Span)
+			}
+		}
+	}
+	for i, ok := range ready {
+		if !ok && j.end-started[i] > readyWithin {
+			j.breach(RuleReady, nil, i, "started at %.3f and never ready", started[i].Seconds())
+		}
+	}
+}
+
+// Summary counts breaches by rule.
+func Summary(breaches []Breach) string {
+	count := map[Rule]int{}
+	for _, b := range breaches {
+		count[b.Rule]++
+	}
+	var parts []string
+	for _, rule := range slices.SortedFunc(keys(count), cmp.Compare[Rule]) {
+		parts = append(parts, fmt.Sprintf("%dx %s", count[rule], rule))
+	}
+	return strings.Join(parts, "; ")
+}
