No release is lost on a connection opened and dropped at once, as at a start

Cause: at a start the known events were taken one by one and each dialled. A connection to a switch that a later event replaces opened at the address of the new one, which took it as the next on which its releases come again, and was closed as no longer asked for. The same when a switch is replaced during a dial. Why this works: all that is known is taken before the first dial, and a dropped connection is read for releases and followed by another to whichever switch stands at its address.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -145,7 +145,9 @@
 	far      map[uint32]*farEnd
 	farOrder []uint32
 	linkOf   map[Conn]uint32
-	closing  map[Conn]uint32 // connections to switches that were closed here and may still bring releases
+	dialTo   map[uint32]string // addresses of dials under way, by ticket
+	starting bool              // nothing is dialled yet
+	closing  map[Conn]uint32   // connections to switches that were closed here and may still bring releases
 	callers  callerConns
 	pending  releaseQueue
 	timers   due.Queue
@@ -160,7 +162,7 @@
 func New(set deployment.Settled, b Bounds, out Carrier, now policy.Tenths,
 	build func(policy.Deployment, policy.Exchange, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{set: set, out: out, now: now, calls: map[uint64]*call{}, byHandle: map[uint32]*call{},
-		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{}, closing: map[Conn]uint32{},
+		openMost: b.Calls, heldMost: b.Octets, linkMost: b.Links, far: map[uint32]*farEnd{}, linkOf: map[Conn]uint32{}, closing: map[Conn]uint32{}, dialTo: map[uint32]string{},
 		callers: newCallerConns(b.Callers), silence: silenceClock{tickAt: now}, pending: releaseQueue{byCall: map[uint64]*pendingRelease{}}, houseAt: now + houseWork, fresh: set.Module.Seed}
 	a.decide = build(set.Module, (*desk)(a), now)
 	return a
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -154,12 +154,13 @@
 // dial asks for one more connection, unless one is being made. Where the descriptors for switches are all in use, one to a switch
 // that has others, on which nothing is out, makes room; else one that has been quiet longest, if calls or releases wait.
 func (a *Agent) dial(f *farEnd) {
-	if f.dialing || len(f.links) >= linksMost || a.full() && !a.makeRoom(f) {
+	if a.starting || f.dialing || len(f.links) >= linksMost || a.full() && !a.makeRoom(f) {
 		return
 	}
 	a.tickets++
 	a.dialled++
 	f.dialing, f.ticket = true, a.tickets
+	a.dialTo[f.ticket] = f.entry.Address
 	a.out.Dial(f.entry.ID, f.ticket, f.entry.Address)
 }
 
@@ -269,10 +270,12 @@
 func (a *Agent) Dialled(now policy.Tenths, sw, ticket uint32, c Conn, refused bool) {
 	a.now = now
 	a.dialled--
+	address := a.dialTo[ticket]
+	delete(a.dialTo, ticket)
 	f := a.far[sw]
 	if f == nil || f.ticket != ticket {
 		if c != 0 {
-			a.out.Close(c, "no longer asked for")
+			a.unasked(c, address)
 		}
 		return
 	}
@@ -346,6 +349,19 @@
 	return slices.ContainsFunc(f.links, func(l *link) bool { return !l.heard && !l.silent })
 }
 
+// unasked closes a connection that nobody asks for any more. Whichever switch stands at its address now may have taken it as the next on which
+// its releases come again, so that one gets another.
+func (a *Agent) unasked(c Conn, address string) {
+	a.out.Close(c, "no longer asked for")
+	for _, id := range a.farOrder {
+		if f := a.far[id]; f.entry.Address == address && a.wanted(f) {
+			a.closing[c] = id
+			f.fetchFrom = a.tickets + 1
+			a.fetch(f)
+		}
+	}
+}
+
 // unreached ends the route tries that wait for a connection to a switch.
 func (a *Agent) unreached(f *farEnd) {
 	for _, h := range f.waiting {
@@ -493,6 +509,18 @@
 // bootAt is when a switch that started late did so, 0 where none is told.
 func bootAt(s board.Switch) policy.Tenths { return policy.Tenths(max(0, s.StartedMS)) * 10 }
 
+// Known takes the events that are known at the start, all of them before anything is dialled: a connection to a switch that a later one
+// replaces would open at the address of the new one, and be closed at once.
+func (a *Agent) Known(now policy.Tenths, events []board.Event) {
+	a.starting = true
+	for _, e := range events {
+		a.Listed(now, e)
+	}
+	a.starting = false
+	a.keep()
+	a.settle()
+}
+
 // Listed takes an event of the notice board.
 func (a *Agent) Listed(now policy.Tenths, e board.Event) {
 	a.now = now
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"indigodrift/internal/board"
 	"indigodrift/internal/sip"
 	"indigodrift/policy"
 )
@@ -257,3 +258,42 @@
 		t.Errorf("%+v", k)
 	}
 }
+
+// Guards against releases that are lost at a start: a switch repeats them on the first connection, which was opened for an entry of the list that a
+// later one replaces, and closed at once.
+func TestNothingIsDialledBeforeAllThatIsKnownIsTaken(t *testing.T) {
+	r := newRig(t)
+	for len(r.dials) > 0 {
+		r.dial(true, false)
+	}
+	old := board.Switch{ID: 7, Cell: 2, Address: "10.0.0.7:1"}
+	gone, next := old, board.Switch{ID: 8, Cell: 2, Address: "10.0.0.7:1", StartedMS: int64(r.now) / 10}
+	gone.State = board.Gone
+	r.a.Known(r.now, []board.Event{{Number: 2, Whole: true, Switches: []board.Switch{old}}, {Number: 3, Switches: []board.Switch{gone, next}}})
+	if len(r.dials) != 1 || r.dials[0].sw != 8 {
+		t.Fatalf("dials %v", r.dials)
+	}
+}
+
+// Guards against releases that are lost on a connection that is closed as it comes up, since its switch was replaced during the dial: the new one
+// at that address took it as the next on which it repeats them.
+func TestConnectionThatNobodyAsksForAnyMoreIsFollowedByAnother(t *testing.T) {
+	r := newRig(t)
+	for len(r.dials) > 0 && r.dials[0].sw != 1 {
+		r.dial(true, false)
+	}
+	under := r.dials[0]
+	r.dials = nil
+	r.list(false, board.Switch{ID: 1, Cell: 1, Address: "10.0.0.2:1", State: board.Gone}, board.Switch{ID: 9, Cell: 1, Address: "10.0.0.2:1"})
+	r.dialAll(9, 9)
+	c := r.name()
+	r.a.Dialled(r.now, under.sw, under.ticket, c, false)
+	if r.closed[c] == "" || len(r.dials) != 1 || r.dials[0].sw != 9 {
+		t.Fatalf("closed %v, dials %v", r.closed, r.dials)
+	}
+	caller := r.callerUp()
+	r.a.FromSwitch(r.now, c, r.bye("00000000000000f1", 16)) // what it brought before it was closed
+	if got := r.sent(caller); got != "BYE" {
+		t.Errorf("the caller heard %q", got)
+	}
+}
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -128,9 +128,9 @@
 		bounds.Calls = min(bounds.Calls, most)
 	}
 	s.agent = b2bua.New(m.Settled, bounds, (*hands)(s), s.now(), build)
-	for _, e := range m.Known {
-		s.agent.Listed(s.now(), e)
-		s.known = e.Number
+	s.agent.Known(s.now(), m.Known)
+	if n := len(m.Known); n > 0 {
+		s.known = m.Known[n-1].Number
 	}
 	return s
 }
