Soak: a set-up is given up when its controller closes, not when a hung switch sees it

A close gives up the set-ups open on a connection, so the try ended at the close, which the proxy sees; the release time is counted from there too, which makes that check stricter.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -337,6 +337,9 @@
 		if lost, ok := j.lostAt[t.arrived.Conn]; ok && lost <= t.ended {
 			t.lost, t.ended, t.end = true, lost, TryGivenUp
 		}
+		if shut, ok := j.shutAt[t.arrived.Conn]; ok && shut < t.ended { // a close gives up what is open, though the switch may see it late
+			t.ended, t.end = shut, TryGivenUp
+		}
 		own := int(t.arrived.Switch&0xffff) <= j.plan.Controllers && int(t.arrived.Switch&0xffff)-1 == k.controller
 		if !placed || sent.At > t.arrived.At || t.arrived.Text != "offer of "+k.id || own {
 			j.breach(RuleNoCaller, k, k.controller, "a set-up at %s that no caller sent, with %q", board.Text(t.arrived.Switch), t.arrived.Text)
