--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -216,11 +216,14 @@
 	}
 	if hung {
 		l.silent.Store(true)
+	} else {
+		time.Sleep(p.drawn(p.shape.ConnectMost))
+	}
+	if l.silent.Load() { // perhaps since it waited: it never comes up
 		p.copy(l, near, nil)
 		near.Close()
 		return
 	}
-	time.Sleep(p.drawn(p.shape.ConnectMost))
 	if PeerClosed(near) { // whoever dialled has given up: the connection never came up
 		near.Close()
 		return
--- a/internal/soak/switch.go
+++ b/internal/soak/switch.go
@@ -55,6 +55,7 @@
 	mu         sync.Mutex
 	calls      map[*heldCall]struct{} // set-ups open on it
 	closed     bool
+	lost       bool // nothing passes on it any more
 }
 
 // heldCall is a call at a switch.
@@ -121,8 +122,10 @@
 	}
 	s.mu.Lock()
 	s.links[l.controller] = append(s.links[l.controller], l)
-	again := s.repeat[l.controller]
-	s.repeat[l.controller] = nil
+	var again []*heldCall
+	if !l.lost { // else it was silenced while the switch hung, and never came up here
+		again, s.repeat[l.controller] = s.repeat[l.controller], nil
+	}
 	s.mu.Unlock()
 	s.write(l, s.group())
 	for _, k := range again {
@@ -445,6 +448,7 @@
 	defer s.mu.Unlock()
 	for at, l := range s.accepted {
 		if l.controller == controller && !l.closed && (from == "" || at == from) {
+			l.lost = true
 			s.log.Add(Event{Kind: LinkLost, Controller: controller, Switch: s.id, Conn: l.conn, Text: how})
 		}
 	}
