--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -329,15 +329,6 @@
 	a.become(k, Over)
 }
 
-// leftAsItStood ends a call whose switch answered after its caller had gone.
-func (a *Agent) leftAsItStood(k *call) {
-	handle, try, far := k.handle, k.tries-1, k.far
-	a.decide.CallerLeft(a.now, handle)
-	a.become(k, Over)
-	a.decide.Ended(a.now, handle, try, far, policy.Cancelled, true, policy.NoReason, 0, untold)
-	a.tally.Left++
-}
-
 var untold = policy.Report{Free: -1, Size: -1, Wait: -1, HoldBack: -1}
 
 // ended tells the module of the end of a standing call and forgets it.
@@ -355,66 +346,6 @@
 	}
 }
 
-// setUp writes a set-up on a connection of the switch.
-func (a *Agent) setUp(k *call, f *farEnd) {
-	l := a.room(f, a.set.StreamsMost)
-	if l == nil {
-		f.waiting = append(f.waiting, k.handle)
-		if a.awaited(f) {
-			return
-		}
-		if a.dial(f); a.full() && !f.dialing { // nothing to wait for
-			a.offLink(k)
-			a.endTry(k.handle, policy.Unreached)
-		}
-		return
-	}
-	if l.tries++; l.tries == 1 {
-		l.busyAt = a.now
-	}
-	l.triedAt = a.now
-	k.link, k.seq = l.conn, uint32(k.tries)
-	left := max(1, (k.limitAt-a.now)/10)
-	a.out.Write(l.conn, &sip.Message{Method: sip.Invite, URI: k.uri, CallID: k.callID, CSeq: k.seq,
-		Fields: []sip.Field{{Name: fieldClass, Value: k.class}, {Name: fieldExpires, Value: strconv.FormatInt(int64(left), 10)}},
-		Body:   k.body})
-}
-
-// offLink takes a try off its connection, or from those that wait for one: left among these, it would be ended again when
-// the dial fails, though a later try of the call is out by then.
-func (a *Agent) offLink(k *call) {
-	f := a.far[k.far]
-	if f == nil {
-		return
-	}
-	if k.link == 0 {
-		f.waiting = slices.DeleteFunc(f.waiting, func(h uint32) bool { return h == k.handle })
-	} else if l := f.link(k.link); l != nil {
-		l.tries--
-	}
-}
-
-// giveUpTry cancels the try that is out.
-func (a *Agent) giveUpTry(k *call) {
-	if k.link != 0 {
-		if f := a.far[k.far]; f != nil && f.link(k.link) != nil {
-			f.link(k.link).triedAt = a.now
-		}
-		a.out.Write(k.link, &sip.Message{Method: sip.Cancel, URI: k.uri, CallID: k.callID, CSeq: k.seq})
-	}
-	a.offLink(k)
-}
-
-// endTry puts a call whose try is over back to the module, once that has returned.
-func (a *Agent) endTry(handle uint32, end policy.Ending) {
-	k := a.byHandle[handle]
-	if k == nil || k.state != Trying {
-		return
-	}
-	a.become(k, Offered)
-	a.later = append(a.later, report{handle: handle, try: k.tries - 1, sw: k.far, end: end, rep: untold})
-}
-
 // FromSwitch takes a message of a switch.
 func (a *Agent) FromSwitch(now policy.Tenths, c Conn, m *sip.Message) {
 	a.now = now
@@ -460,122 +391,6 @@
 	a.settle()
 }
 
-// answer takes a switch's answer to a set-up.
-func (a *Agent) answer(f *farEnd, c Conn, m *sip.Message) {
-	id, err := readID(m.CallID)
-	k := a.calls[id]
-	if err != nil || k == nil || m.Provisional() { // progress means nothing; an unknown id is none of ours
-		return
-	}
-	ack := sip.Message{Method: sip.Ack, URI: k.uri, CallID: k.callID, CSeq: m.CSeq}
-	if k.state != Trying || k.link != c || m.CSeq != k.seq {
-		a.lateAnswer(k, f, c, m, ack)
-		return
-	}
-	rep := readLoad(m)
-	a.out.Write(c, &ack)
-	a.offLink(k)
-	if m.Refusal() {
-		end, why, wait := readRefusal(m)
-		a.become(k, Offered)
-		a.later = append(a.later, report{handle: k.handle, try: k.tries - 1, sw: k.far, end: end, why: why, wait: wait, rep: rep})
-		return
-	}
-	if a.out.Left(k.caller, k.callID) { // nobody would hear that the call stands, nor that it is over
-		a.out.Write(c, a.bye(k.callID, k.uri, causeNormal))
-		a.leftAsItStood(k)
-		return
-	}
-	a.writeAnswer(k, &sip.Message{Status: sip.OK, CallID: k.callID, CSeq: k.cseq, CSeqMethod: sip.Invite, Body: m.Body})
-	a.become(k, Standing)
-	a.tally.Stood++
-	a.decide.Stands(a.now, k.handle, k.tries-1)
-	if rep.Size >= 0 {
-		a.decide.Circuits(a.now, k.far, rep)
-	}
-}
-
-// lateAnswer takes an answer for which nobody waits. A set-up that was given up and stands all the same is released; the
-// second copy of an answer is passed over, and so is what comes for an earlier try while a later one is at that switch,
-// since a release names the call and would cut that one.
-func (a *Agent) lateAnswer(k *call, f *farEnd, c Conn, m *sip.Message, ack sip.Message) {
-	if k.tries == 0 || m.CSeq > k.seq {
-		return
-	}
-	a.out.Write(c, &ack)
-	if m.Refusal() || k.far == f.entry.ID && (k.state == Standing || k.state == Trying) {
-		return
-	}
-	if k.state == Over && k.stoodAt != 0 && k.seq == m.CSeq {
-		return
-	}
-	a.out.Write(c, a.bye(k.callID, k.uri, causeNormal))
-}
-
-func (a *Agent) bye(callID, uri string, cause int) *sip.Message {
-	return &sip.Message{Method: sip.Bye, URI: uri, CallID: callID, CSeq: 100,
-		Fields: []sip.Field{{Name: fieldReason, Value: "Q.850;cause=" + strconv.Itoa(cause)}}}
-}
-
-// released takes a switch's release.
-func (a *Agent) released(f *farEnd, m *sip.Message) {
-	id, err := readID(m.CallID)
-	if err != nil {
-		return
-	}
-	k, why, rep := a.calls[id], cause(m), readLoad(m)
-	switch {
-	case k == nil: // it stood before this process started: its caller must hear of it all the same
-		a.releases.Unknown++
-		a.out.Record(Record{Kind: ReleaseUnknown, CallID: m.CallID, Switch: f.entry.ID, Cause: why})
-		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
-		a.remember(k)
-		a.releaseCaller(k, why)
-	case k.state == Standing && k.far == f.entry.ID:
-		a.releaseCaller(k, why)
-		if why == causeNormal {
-			a.ended(k, policy.Released, rep)
-		} else {
-			a.ended(k, policy.Cut, rep)
-		}
-	case k.state == Trying && k.far == f.entry.ID && k.link != 0:
-		a.offLink(k)
-		a.endTry(k.handle, policy.Cut)
-	default:
-		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Switch: f.entry.ID, To: k.state, Cause: why})
-	}
-}
-
-// releaseSwitch releases a call towards its switch, on any connection; where none is open, on the next that opens.
-func (a *Agent) releaseSwitch(sw uint32, link Conn, m *sip.Message) {
-	f := a.far[sw]
-	if f == nil {
-		return
-	}
-	l := f.link(link)
-	if l == nil || a.doubtful(f, l) {
-		if other := a.room(f, 0); other != nil {
-			l = other
-		}
-	}
-	if l != nil {
-		l.byes = append(slices.DeleteFunc(l.byes, func(b bye) bool { return a.now-b.at > byeCrosses }), bye{a.now, *m})
-		a.out.Write(l.conn, m)
-		return
-	}
-	a.owe(f, m)
-	a.dial(f)
-}
-
-// owe keeps a release for the next connection to a switch.
-func (a *Agent) owe(f *farEnd, m *sip.Message) {
-	if len(f.owed) < owedMost {
-		f.owed = append(f.owed, *m)
-	} else {
-		a.out.Note("too many releases wait for a switch; one is dropped")
-	}
-}
-
 // Far is what is believed of one switch, for the log.
 type Far struct {
 	ID         string
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -27,18 +27,8 @@
 	stallRead = policy.Tenths(500)
 
 	releasesMost = 4096 // not confirmed; the oldest is given up for one more
-
-	// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read, unless a test
-	// written after it was answered: that long it takes until a silent connection is found. Switches need not answer a BYE.
-	byeCrosses = askAfter + signMost + stallRoom
 )
 
-// bye is a release written to a switch.
-type bye struct {
-	at policy.Tenths
-	m  sip.Message
-}
-
 // pendingRelease is the release of one call towards its caller, from when the call is over until the caller is known to have
 // read it, or it is given up. It always has a due time: whatever happens to connections or does not, the next round comes.
 type pendingRelease struct {
--- /dev/null
+++ b/internal/b2bua/release_switch.go
@@ -0,0 +1,83 @@
+package b2bua
+
+import (
+	"slices"
+	"strconv"
+
+	"indigodrift/internal/sip"
+	"indigodrift/policy"
+)
+
+// byeCrosses is how long after a BYE was written to a switch the end of its connection may mean that it was not read, unless a test written
+// after it was answered: that long it takes until a silent connection is found. Switches need not answer a BYE.
+const byeCrosses = askAfter + signMost + stallRoom
+
+// bye is a release written to a switch.
+type bye struct {
+	at policy.Tenths
+	m  sip.Message
+}
+
+func (a *Agent) bye(callID, uri string, cause int) *sip.Message {
+	return &sip.Message{Method: sip.Bye, URI: uri, CallID: callID, CSeq: 100,
+		Fields: []sip.Field{{Name: fieldReason, Value: "Q.850;cause=" + strconv.Itoa(cause)}}}
+}
+
+// released takes a switch's release.
+func (a *Agent) released(f *farEnd, m *sip.Message) {
+	id, err := readID(m.CallID)
+	if err != nil {
+		return
+	}
+	k, why, rep := a.calls[id], cause(m), readLoad(m)
+	switch {
+	case k == nil: // it stood before this process started: its caller must hear of it all the same
+		a.releases.Unknown++
+		a.out.Record(Record{Kind: ReleaseUnknown, CallID: m.CallID, Switch: f.entry.ID, Cause: why})
+		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
+		a.remember(k)
+		a.releaseCaller(k, why)
+	case k.state == Standing && k.far == f.entry.ID:
+		a.releaseCaller(k, why)
+		if why == causeNormal {
+			a.ended(k, policy.Released, rep)
+		} else {
+			a.ended(k, policy.Cut, rep)
+		}
+	case k.state == Trying && k.far == f.entry.ID && k.link != 0:
+		a.offLink(k)
+		a.endTry(k.handle, policy.Cut)
+	default:
+		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Switch: f.entry.ID, To: k.state, Cause: why})
+	}
+}
+
+// releaseSwitch releases a call towards its switch, on any connection; where none is open, on the next that opens.
+func (a *Agent) releaseSwitch(sw uint32, link Conn, m *sip.Message) {
+	f := a.far[sw]
+	if f == nil {
+		return
+	}
+	l := f.link(link)
+	if l == nil || a.doubtful(f, l) {
+		if other := a.room(f, 0); other != nil {
+			l = other
+		}
+	}
+	if l != nil {
+		l.byes = append(slices.DeleteFunc(l.byes, func(b bye) bool { return a.now-b.at > byeCrosses }), bye{a.now, *m})
+		a.out.Write(l.conn, m)
+		return
+	}
+	a.owe(f, m)
+	a.dial(f)
+}
+
+// owe keeps a release for the next connection to a switch.
+func (a *Agent) owe(f *farEnd, m *sip.Message) {
+	if len(f.owed) < owedMost {
+		f.owed = append(f.owed, *m)
+	} else {
+		a.out.Note("too many releases wait for a switch; one is dropped")
+	}
+}
