A connection closed to make room for one more is no loss that asks for another

Switches would see: a connection opened and closed every 0.9 s while a call stands that was set up on a broken one, and four are open. Cause: the one closed to make room counted as lost, which asked for a further one. Why this works: it was well, its end is told to the switch, and what crosses the close is read.

--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -24,8 +24,8 @@
 	signMost  = policy.Tenths(20000) // a slow network must not have every connection closed again and again
 
 	// silentKeep is how long a silent connection is kept on which no set-up was written since it was heard last. Set-ups are given up by its
-	// close, but where its switch hangs, what that says when it goes
-	// on still comes there, and connections that are closed and opened meanwhile would only lie before it.
+	// close, but where its switch hangs, what that says when it goes on still comes there, and connections that are closed and opened
+	// meanwhile would only lie before it.
 	silentKeep = goneAfter
 	silentMost = 2 // so many to one switch; those beyond are closed and dialled again
 
@@ -331,13 +331,18 @@
 func (a *Agent) dropLinks(f *farEnd, why string, which func(*link) bool) {
 	for _, l := range slices.Clone(f.links) {
 		if which(l) {
-			a.out.Close(l.conn, why)
-			a.LinkDown(a.now, l.conn, false)
-			a.closing[l.conn] = f.entry.ID
+			a.drop(f, l, why, false)
 		}
 	}
 }
 
+// drop closes a connection to a switch. With whole it works: what crosses the close is still read.
+func (a *Agent) drop(f *farEnd, l *link, why string, whole bool) {
+	a.out.Close(l.conn, why)
+	a.LinkDown(a.now, l.conn, whole)
+	a.closing[l.conn] = f.entry.ID
+}
+
 // cutStanding ends the calls that stood at a switch before an instant: their release cannot come any more.
 func (a *Agent) cutStanding(f *farEnd, before policy.Tenths, why string) {
 	cut := a.inOrder(func(k *call) bool { return k.state == Standing && k.far == f.entry.ID && k.stoodAt < before })
@@ -370,7 +375,7 @@
 			}
 			switch {
 			case l.partAt != 0 && a.silentFor(l.partAt) > partMost:
-				a.dropLinks(f, "half a message and no more", func(o *link) bool { return o == l })
+				a.drop(f, l, "half a message and no more", false)
 			case a.unheard(l) > f.signWithin():
 				a.silent(f, l)
 			case l.askedAt == 0 && quiet > most:
--- a/internal/b2bua/fetch.go
+++ b/internal/b2bua/fetch.go
@@ -37,7 +37,7 @@
 		if idle == nil {
 			return
 		}
-		a.dropLinks(f, "a new connection to this switch is needed", func(l *link) bool { return l == idle })
+		a.drop(f, idle, "a new connection to this switch is needed", !idle.silent)
 	}
 	a.dial(f)
 }
@@ -114,7 +114,7 @@
 		}
 	}
 	if l.triedAt >= l.heardAt && l.triedAt != 0 || l.silent || kept >= silentMost {
-		a.dropLinks(f, "no sign of life", func(o *link) bool { return o == l })
+		a.drop(f, l, "no sign of life", false)
 		return
 	}
 	l.silent = true
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -297,3 +297,21 @@
 		t.Errorf("the caller heard %q", got)
 	}
 }
+
+// Guards against a loop of dials: the connection that makes room for the next is no loss that asks for one more.
+func TestConnectionsThatMakeRoomAskForNoFurtherOnes(t *testing.T) {
+	const seconds = 60
+	r, old, _, k := twoLinks(t)
+	r.linkDown(old)
+	before := r.a.tickets
+	for range seconds * 10000 / int(houseWork) {
+		r.pass(houseWork)
+		r.dialAll(9, 9)
+	}
+	if k.callerReleased != 0 {
+		t.Fatal("the call does not stand")
+	}
+	if dials := int(r.a.tickets - before); dials > seconds*10000/int(refetchEvery)+2*linksMost {
+		t.Errorf("%d dials in %d s", dials, seconds)
+	}
+}
