A crowd that says nothing and ends all at once uses up no release

Cause: its caller's connection had been reset, so the release went to the silent connections of a crowd; as these were closed one after the other each copy went again on the next, until 32 were used up within 0.2 s, and the release was given up. Why this works: the end of a connection on which no set-up came asks for no further copy, rounds and newcomers have allowances of their own, and a release is given up by its age alone.

--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -80,6 +80,12 @@
 	}
 }
 
+// asked tells that a set-up came on a connection.
+func (d *callerConns) asked(c Conn) bool {
+	o := d.conns[c]
+	return o != nil && o.asked
+}
+
 // proved tells that the far end of a connection is known to have read what was written on it.
 func (d *callerConns) proved(c Conn) bool {
 	o := d.conns[c]
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -19,9 +19,11 @@
 	roundsFast = 5                     // of these fall into tellWithin
 	roundSlow  = policy.Tenths(10000)  // between later rounds
 	roundMost  = 8                     // copies in one round
-	copiesMost = 32                    // copies of one release in all
+	copiesMost = 32                    // copies of one release in rounds, and as connections end
+	offersMost = 32                    // further ones, as connections come on which set-ups are sent
+	provedMost = 64                    // and as connections prove to be read
 	keepTold   = policy.Tenths(100000) // a release that was written and is not confirmed is given up after this
-	keepUntold = policy.Tenths(600000) // and one that could not be written at all after this
+	keepUntold = policy.Tenths(600000) // and one that could not be written where set-ups came after this
 
 	// stallRead is how long after a stall of this process answers may lie unread. It puts a round off once.
 	stallRead = policy.Tenths(500)
@@ -38,7 +40,10 @@
 	dueAt     policy.Tenths
 	writtenAt policy.Tenths // the last copy
 	rounds    int
-	written   int    // copies
+	written   int    // copies, all in all
+	spread    int    // of them in rounds, and as connections ended
+	offered   int    // and as connections came or proved to be read
+	toAsked   bool   // one was written on a connection on which set-ups came
 	on        []Conn // open connections that bear a copy
 	putOff    bool   // a stall has put its round off already
 	reported  bool   // it was logged that no connection can take it
@@ -105,7 +110,7 @@
 		a.out.Record(Record{Kind: ReleaseUnanswered, CallID: k.callID, Conn: k.caller, Switch: k.far, Copies: r.written, Waited: waited})
 	}
 	switch {
-	case r.written >= copiesMost, r.written > 0 && waited >= keepTold:
+	case r.toAsked && waited >= keepTold:
 		a.giveUpRelease(r, "no caller confirms it")
 	case waited >= keepUntold:
 		a.giveUpRelease(r, "no caller has connected")
@@ -144,8 +149,9 @@
 		r.reported = true
 		a.out.Record(Record{Kind: ReleaseWaits, CallID: r.call.callID, Switch: r.call.far, Why: "no caller's connection is open"})
 	}
-	copies = min(copies, len(candidates), copiesMost-r.written)
+	copies = min(copies, len(candidates), copiesMost-r.spread)
 	for _, o := range candidates[:max(0, copies)] {
+		r.spread++
 		a.writeCopy(r, o)
 	}
 }
@@ -154,6 +160,7 @@
 	k := r.call
 	r.written++
 	r.writtenAt = a.now
+	r.toAsked = r.toAsked || o.asked
 	kind := ReleaseRepeated
 	if r.written == 1 {
 		kind = ReleaseWritten
@@ -172,14 +179,19 @@
 // on connections alone that are less likely read. It is called when something new is known of the connection.
 func (a *Agent) offerReleases(o *callerConn) {
 	for _, r := range slices.Clone(a.pending.order) {
-		if r.written < copiesMost && !slices.Contains(r.on, o.conn) && a.needsCopy(r, o) {
+		most := offersMost
+		if o.readAt != 0 {
+			most += provedMost
+		}
+		if r.offered < most && !slices.Contains(r.on, o.conn) && a.needsCopy(r, o) {
+			r.offered++
 			a.writeCopy(r, o)
 		}
 	}
 }
 
 func (a *Agent) needsCopy(r *pendingRelease, o *callerConn) bool {
-	if len(r.on) == 0 || a.now-r.writtenAt >= copyEvery {
+	if a.now-r.writtenAt >= copyEvery || !slices.ContainsFunc(r.on, a.callers.asked) {
 		return true
 	}
 	return o.readAt != 0 && !slices.ContainsFunc(r.on, a.callers.proved)
@@ -190,6 +202,9 @@
 	for _, r := range a.pending.order {
 		r.on = slices.DeleteFunc(r.on, func(c Conn) bool { return c == o.conn })
 	}
+	if !o.asked { // the rounds go on without it; a crowd that ends would use up all copies at once
+		return
+	}
 	for _, written := range o.copies {
 		a.writeCopies(written.release, a.callers.forRelease(written.release, a.now), 1)
 	}
