--- a/internal/b2bua/release_test.go
+++ b/internal/b2bua/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"indigodrift/internal/sip"
@@ -292,13 +293,10 @@
 	}
 	r.callerDown(first)
 	r.switchReleases(k)
-	for _, c := range crowd[:60] {
-		r.callerDown(c)
-	}
-	r.pass(5 * copyEvery)
-	for _, c := range crowd[60:] {
+	for _, c := range slices.Backward(crowd) { // those that have copies first
 		r.callerDown(c)
 	}
+	r.pass(copyEvery)
 	second := r.callerUp()
 	r.offer(second, 1, 1000)
 	if r.pass(0); !k.heardRelease || k.releasedOn != second {
