A release that waited for long is kept for its time after its first copy

Callers would see: a call that goes on standing, where nobody was connected for 10 s and the first to come does not read. Cause: the age after which a release is given up was counted from its arrival, so that such a one had a second left after its first copy. Evidence: TestReleaseThatWaitedIsKeptAfterItsFirstCopy fails with the old rule (told once, not who came last).

--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -22,8 +22,8 @@
 	copiesMost = 32                    // copies of one release in rounds, and as connections end
 	offersMost = 32                    // further ones, as connections come on which set-ups are sent
 	provedMost = 64                    // and as connections prove to be read
-	keepTold   = policy.Tenths(100000) // a release that was written and is not confirmed is given up after this
-	keepUntold = policy.Tenths(600000) // and one that could not be written where set-ups came after this
+	keepTold   = policy.Tenths(100000) // a release is given up so long after its first copy where set-ups came
+	keepUntold = policy.Tenths(600000) // and so long after it came where there was none
 
 	// stallRead is how long after a stall of this process answers may lie unread. It puts a round off once.
 	stallRead = policy.Tenths(500)
@@ -40,13 +40,13 @@
 	dueAt     policy.Tenths
 	writtenAt policy.Tenths // the last copy
 	rounds    int
-	written   int    // copies, all in all
-	spread    int    // of them in rounds, and as connections ended
-	offered   int    // and as connections came or proved to be read
-	toAsked   bool   // one was written on a connection on which set-ups came
-	on        []Conn // open connections that bear a copy
-	putOff    bool   // a stall has put its round off already
-	reported  bool   // it was logged that no connection can take it
+	written   int           // copies, all in all
+	spread    int           // of them in rounds, and as connections ended
+	offered   int           // and as connections came or proved to be read
+	askedAt   policy.Tenths // the first copy on a connection on which set-ups came, 0 when there was none
+	on        []Conn        // open connections that bear a copy
+	putOff    bool          // a stall has put its round off already
+	reported  bool          // it was logged that no connection can take it
 }
 
 // releaseQueue keeps the releases that are not confirmed.
@@ -110,9 +110,9 @@
 		a.out.Record(Record{Kind: ReleaseUnanswered, CallID: k.callID, Conn: k.caller, Switch: k.far, Copies: r.written, Waited: waited})
 	}
 	switch {
-	case r.toAsked && waited >= keepTold:
+	case r.askedAt != 0 && a.now-r.askedAt >= keepTold:
 		a.giveUpRelease(r, "no caller confirms it")
-	case waited >= keepUntold:
+	case r.askedAt == 0 && waited >= keepUntold:
 		a.giveUpRelease(r, "no caller has connected")
 	default:
 		a.writeRound(r)
@@ -160,7 +160,9 @@
 	k := r.call
 	r.written++
 	r.writtenAt = a.now
-	r.toAsked = r.toAsked || o.asked
+	if r.askedAt == 0 && o.asked {
+		r.askedAt = a.now
+	}
 	kind := ReleaseRepeated
 	if r.written == 1 {
 		kind = ReleaseWritten
--- a/internal/b2bua/release_test.go
+++ b/internal/b2bua/release_test.go
@@ -303,3 +303,19 @@
 		t.Errorf("told %d times, last on %d", k.callerReleased, k.releasedOn)
 	}
 }
+
+// Guards against a release that waited for long and is given up as soon as the first to come has a copy, though it does not read.
+func TestReleaseThatWaitedIsKeptAfterItsFirstCopy(t *testing.T) {
+	r, first, second, k := stood(t)
+	r.callerDown(first)
+	r.callerDown(second)
+	r.switchReleases(k)
+	r.pass(2 * keepTold)
+	r.deafCaller()
+	r.pass(keepTold / 2)
+	last := r.callerUp()
+	r.offer(last, 1, 1000)
+	if r.pass(copyEvery); !k.heardRelease {
+		t.Errorf("told %d times, not who came last", k.callerReleased)
+	}
+}
