Calls whose own connection is not open are asked after, whyever it ended

With connections that come up late, dials followed each other while the first word on one was still awaited, which made that room scarce. Why this works: for a minute after a loss one more connection opens every 3 s as long as a call stands whose own is not open, and a room-making close counts as good order only where nothing is owed on the connection.

--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -39,11 +39,12 @@
 	redialFirst = policy.Tenths(1000) // waits between dials that no call asked for
 	redialMost  = policy.Tenths(8000) // a switch that is back must be known before its calls' releases are overdue
 
-	// refetchEvery is how often one more connection is opened to a switch where calls stand that were set up on one that broke. Their
-	// release comes there first, as long as the switch takes it for open, and on the next that opens: the platform allows 8 s.
+	// refetchEvery is how often one more connection is opened to a switch where calls stand whose own is not open, when one has broken
+	// within lostKeep. Their release may come on that first, as long as the switch takes it for open, and on the next that opens: the
+	// platform allows 8 s.
 	refetchEvery = policy.Tenths(30000)
 	refetchSoon  = policy.Tenths(3000) // and after the first word of a switch that was silent
-	lostMost     = 64                  // connections that broke and are remembered for that
+	lostKeep     = policy.Tenths(600000) // longer than a switch keeps an idle connection
 
 	// A connection that held for less than heldLeast was short. After one a dial comes at once, since releases come on open connections
 	// only; after shortMost in a row it waits, redialFetch at most, so that a switch that accepts and resets is not dialled in a loop.
@@ -113,9 +114,9 @@
 	// fetchFrom is the least ticket of a dial whose connection brings again what was lost on one that broke: switches repeat their
 	// releases on the next connection that opens, and on no other. 0: nothing was lost since the last one opened.
 	fetchFrom uint32
-	lost      []Conn        // connections that broke, on which calls were set up that may still stand
-	refetchAt policy.Tenths // when the next connection is opened for these
-	resumes   bool          // nothing was heard of the switch since one of these broke
+	lostAt    policy.Tenths // when a connection broke last, which the switch may take for open; 0 when none did
+	refetchAt policy.Tenths // when the next connection is opened for calls whose own is not open
+	resumes   bool          // nothing was heard of the switch since a connection broke
 	pace      *reconnect.Pace
 	dialAt    policy.Tenths // the next dial that no call asks for
 	heardAt   policy.Tenths // of the switch, on any connection
@@ -314,6 +315,8 @@
 		}
 		if !whole && l != nil && !l.silent {
 			a.loses(f, l)
+		} else if f.refetchAt == 0 && f.lostAt != 0 && now-f.lostAt < lostKeep {
+			f.refetchAt = now + refetchEvery
 		}
 		if a.wanted(f) && now >= f.dialAt && (len(f.links) == 0 || f.fetchFrom != 0) {
 			a.fetch(f)
@@ -387,7 +390,7 @@
 		if f.refetchAt != 0 && a.now >= f.refetchAt {
 			a.refetch(f)
 		}
-		needed := f.fetchFrom != 0 || a.room(f, 0) == nil
+		needed := f.fetchFrom != 0 || a.room(f, 0) == nil && !a.awaited(f)
 		if len(f.waiting) > 0 && !a.awaited(f) || needed && a.now >= f.dialAt {
 			a.fetch(f)
 		}
--- a/internal/b2bua/fetch.go
+++ b/internal/b2bua/fetch.go
@@ -21,7 +21,8 @@
 func (a *Agent) loses(f *farEnd, l *link) {
 	a.oweAgain(f, l)
 	f.fetchFrom = a.tickets + 1
-	f.remember(l.conn, a.now)
+	f.resumes, f.lostAt = true, a.now
+	f.refetchAt = a.now + refetchEvery
 }
 
 // fetch dials one more connection to a switch. Where it has as many as it may, the one that was heard last the longest ago and has nothing
@@ -37,21 +38,12 @@
 		if idle == nil {
 			return
 		}
-		a.drop(f, idle, "a new connection to this switch is needed", !idle.silent)
+		well := idle.heard && idle.askedAt == 0
+		a.drop(f, idle, "a new connection to this switch is needed", well)
 	}
 	a.dial(f)
 }
 
-// remember remembers a connection that broke.
-func (f *farEnd) remember(c Conn, now policy.Tenths) {
-	if len(f.lost) >= lostMost {
-		f.lost = f.lost[1:]
-	}
-	f.lost = append(f.lost, c)
-	f.resumes = true
-	f.refetchAt = now + refetchEvery
-}
-
 // heard notes that a switch said something. One that hung may release calls now that ended meanwhile, on connections that were given up, so
 // the next is opened soon.
 func (f *farEnd) heard(now policy.Tenths) {
@@ -62,17 +54,19 @@
 	}
 }
 
-// refetch asks for one more connection where calls stand that were set up on one that broke.
+// refetch asks for one more connection where calls stand whose own connection is not open.
 func (a *Agent) refetch(f *farEnd) {
 	f.refetchAt = a.now + refetchEvery
 	for _, k := range a.calls {
-		adopted := k.handle == 0 // set up in an earlier life, on a connection that may have been lost as well
-		if k.state == Standing && k.far == f.entry.ID && (adopted || slices.Contains(f.lost, k.link)) {
+		if k.state != Standing || k.far != f.entry.ID {
+			continue
+		}
+		if own := f.link(k.link); own == nil || own.silent {
 			f.fetchFrom = a.tickets + 1
 			return
 		}
 	}
-	f.lost, f.refetchAt = nil, 0
+	f.refetchAt = 0
 }
 
 // suspects tells that a switch may hang: nothing was heard of it since a connection was lost or came in doubt.
--- a/internal/b2bua/fetch_test.go
+++ b/internal/b2bua/fetch_test.go
@@ -315,3 +315,47 @@
 		t.Errorf("%d dials in %d s", dials, seconds)
 	}
 }
+
+// Guards against a connection that is in doubt, and is closed to make room, being taken for one that was well: nothing would ask after its calls.
+func TestConnectionInDoubtThatMakesRoomCountsAsLost(t *testing.T) {
+	r, old, _, k := twoLinks(t) // old is in doubt
+	f := r.a.far[1]
+	for len(f.links) < linksMost {
+		f.fetchFrom = r.a.tickets + 1
+		r.a.fetch(f)
+		r.dialAll(9, 9)
+	}
+	f.fetchFrom = r.a.tickets + 1
+	r.a.fetch(f)
+	if r.closed[old] == "" || f.refetchAt == 0 {
+		t.Fatalf("closed %v, asked after at %d", r.closed, f.refetchAt)
+	}
+	r.dialAll(9, 9)
+	before := r.a.tickets
+	for range 2 * refetchEvery / houseWork {
+		r.pass(houseWork)
+		r.dialAll(9, 9)
+	}
+	if r.a.tickets == before || k.callerReleased != 0 {
+		t.Errorf("no further connection while the call stands")
+	}
+}
+
+// Guards against a release that comes on a connection lost before, since the call's own has been closed in good order meanwhile.
+func TestCallWhoseConnectionIsClosedAfterAnotherWasLostIsAskedAfter(t *testing.T) {
+	r, old, other, _ := twoLinks(t)
+	r.linkDown(old)
+	r.dialAll(9, 9)
+	second := r.offer(r.callerUp(), 1, 2000)
+	r.answer(second, sip.OK)
+	if second.standsOn != other {
+		t.Fatalf("stands on %d", second.standsOn)
+	}
+	r.a.refetch(r.a.far[1])
+	r.a.far[1].refetchAt = 0
+	r.forgetLink(other)
+	r.a.LinkDown(r.now, other, true)
+	if r.a.far[1].refetchAt == 0 {
+		t.Error("not asked after")
+	}
+}
