--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -43,7 +43,7 @@
 	// within lostKeep. Their release may come on that first, as long as the switch takes it for open, and on the next that opens: the
 	// platform allows 8 s.
 	refetchEvery = policy.Tenths(30000)
-	refetchSoon  = policy.Tenths(3000) // and after the first word of a switch that was silent
+	refetchSoon  = policy.Tenths(3000)   // and after the first word of a switch that was silent
 	lostKeep     = policy.Tenths(600000) // longer than a switch keeps an idle connection
 
 	// A connection that held for less than heldLeast was short. After one a dial comes at once, since releases come on open connections
