Log which try of a call was out, where, and why it ended; count tries by their end

New records: try state, try reset by a release, answer ignored, call refused, each with call, try (its CSeq), connection and reason; 'release ignored' names try and connection. The summary has a group 'tries'. No behaviour changes; tests of b2bua and platform pass.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -84,6 +84,7 @@
 	link     Conn   // 0 while the try waits for a connection
 	seq      uint32 // CSeq of the present or last try's set-up
 	limitAt  policy.Tenths
+	sentAt   policy.Tenths // when the present or last try's set-up was written
 	stoodAt  policy.Tenths
 	overAt   policy.Tenths
 	ended    bool // its caller knows that it is over, or is being told
@@ -155,6 +156,7 @@
 	later    []report
 	tally    Tally
 	releases Releases
+	tries    Tries
 	lateness policy.Tenths // greatest of a timer since it was last asked for
 }
 
@@ -196,7 +198,8 @@
 			a.releaseDue(d)
 		case dueTry:
 			if k != nil && k.state == Trying && k.limitAt == d.At {
-				a.giveUpTry(k)
+				a.tries.TimedOut++
+				a.giveUpTry(k, "no answer in time")
 				a.endTry(k.handle, policy.TimedOut)
 			}
 		case dueLeave:
@@ -313,6 +316,7 @@
 	if comeBack > 0 {
 		m.Fields = []sip.Field{{Name: fieldBackOff, Value: strconv.FormatInt(int64((comeBack+9)/10), 10)}}
 	}
+	a.out.Record(Record{Kind: CallRefused, CallID: k.callID, Conn: k.caller, Switch: k.far, Try: k.tries, Why: strconv.Itoa(status)})
 	a.writeAnswer(k, &m)
 }
 
@@ -320,7 +324,8 @@
 func (a *Agent) left(k *call) {
 	a.decide.CallerLeft(a.now, k.handle)
 	if k.state == Trying {
-		a.giveUpTry(k)
+		a.tries.Cancelled++
+		a.giveUpTry(k, "its caller has left, or its call has failed")
 		handle, try, far := k.handle, k.tries-1, k.far
 		a.become(k, Over)
 		a.decide.Ended(a.now, handle, try, far, policy.Cancelled, true, policy.NoReason, 0, untold)
@@ -352,7 +357,7 @@
 	sw, ok := a.linkOf[c]
 	if !ok {
 		if f := a.far[a.closing[c]]; f != nil && m.Method == sip.Bye { // it crossed the close
-			a.released(f, m)
+			a.released(f, c, m)
 			a.settle()
 		}
 		return
@@ -380,7 +385,7 @@
 	case m.Method == sip.Bye:
 		heard := m.Answer(sip.OK)
 		a.out.Write(c, &heard)
-		a.released(f, m)
+		a.released(f, c, m)
 	case m.Method == sip.Options:
 		passed := m.Answer(sip.OK)
 		a.out.Write(c, &passed)
@@ -418,6 +423,9 @@
 	return r
 }
 
+// Tries tells what became of route tries.
+func (a *Agent) Tries() Tries { return a.tries }
+
 // Counts tells calls open, standing and remembered, callers' connections, and the greatest lateness of a timer since the
 // last time.
 func (a *Agent) Counts() (t Tally, open, standing, kept, callers int, late policy.Tenths) {
--- a/internal/b2bua/desk.go
+++ b/internal/b2bua/desk.go
@@ -60,7 +60,8 @@
 func (d *desk) Cancel(id uint32, try int) {
 	a := (*Agent)(d)
 	if k := a.byHandle[id]; k != nil && k.state == Trying && try == k.tries-1 {
-		a.giveUpTry(k)
+		a.tries.Cancelled++
+		a.giveUpTry(k, "called off")
 		a.endTry(id, policy.Cancelled)
 	}
 }
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -325,6 +325,7 @@
 	cut := a.inOrder(func(k *call) bool { return k.state == Trying && k.link == c })
 	a.out.Record(Record{Kind: SwitchDown, Conn: c, Switch: sw, Why: fmt.Sprintf("%d set-ups open on it", len(cut))})
 	for _, k := range cut {
+		a.tries.Lost++
 		a.endTry(k.handle, policy.Cut)
 	}
 	a.settle()
--- a/internal/b2bua/record.go
+++ b/internal/b2bua/record.go
@@ -5,7 +5,7 @@
 // RecordKind names what a Record tells.
 type RecordKind uint8
 
-// The kinds of records. All but CallState and ReleaseWritten tell of something unusual.
+// The kinds of records. All but CallState, TryState, CallRefused and ReleaseWritten tell of something unusual.
 const (
 	CallState         RecordKind = iota // a call changed its state
 	SetUpRefused                        // a message of a caller was refused
@@ -20,11 +20,15 @@
 	SwitchSuspect                       // a connection to a switch owes a sign of life
 	SwitchDown                          // a connection to a switch ended
 	CallerDown                          // a caller's connection ended with set-ups or releases open on it
+	TryState                            // a route try was written, or ended
+	TryReset                            // a switch released a call while a route try was out there
+	AnswerIgnored                       // a switch answered a set-up for which nobody waits
+	CallRefused                         // a call was refused or failed
 )
 
 var recordNames = [...]string{"call state", "a caller's message is refused", "release written", "release repeated", "release waits",
 	"release unanswered", "release late", "release dropped", "release of an unknown call", "release ignored", "switch connection suspect",
-	"switch connection ended", "caller connection ended"}
+	"switch connection ended", "caller connection ended", "try state", "try reset by a release", "answer ignored", "call refused"}
 
 func (k RecordKind) String() string { return recordNames[k] }
 
@@ -34,6 +38,7 @@
 	CallID string
 	Conn   Conn
 	Switch uint32
+	Try    int   // number of the call's route try, and its CSeq, from 1
 	From   State // of CallState, as To
 	To     State
 	Cause  int           // Q.850
@@ -58,3 +63,16 @@
 	Waiting    int           // not confirmed now
 	Oldest     policy.Tenths // how long the oldest of these has waited
 }
+
+// Tries counts what became of route tries since the start.
+type Tries struct {
+	Written      uint64 // set-ups written to switches
+	Again        uint64 // of them for a call that was tried before
+	Stood        uint64
+	Refused      uint64
+	TimedOut     uint64
+	Cancelled    uint64 // called off by the module, or their caller has left
+	Lost         uint64 // their connection ended
+	Reset        uint64 // their switch released the call before an answer
+	AnsweredLate uint64 // answers to tries that were over
+}
--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -1,6 +1,7 @@
 package b2bua
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 
@@ -24,7 +25,7 @@
 }
 
 // released takes a switch's release.
-func (a *Agent) released(f *farEnd, m *sip.Message) {
+func (a *Agent) released(f *farEnd, c Conn, m *sip.Message) {
 	id, err := readID(m.CallID)
 	if err != nil {
 		return
@@ -45,10 +46,12 @@
 			a.ended(k, policy.Cut, rep)
 		}
 	case k.state == Trying && k.far == f.entry.ID && k.link != 0:
+		a.tries.Reset++
+		a.out.Record(Record{Kind: TryReset, CallID: m.CallID, Conn: c, Switch: k.far, Try: k.tries, Cause: why, Waited: a.now - k.sentAt, Why: fmt.Sprintf("its set-up is on connection %d", k.link)})
 		a.offLink(k)
 		a.endTry(k.handle, policy.Cut)
 	default:
-		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Switch: f.entry.ID, To: k.state, Cause: why})
+		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Conn: c, Switch: f.entry.ID, Try: k.tries, To: k.state, Cause: why})
 	}
 }
 
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -1,6 +1,7 @@
 package b2bua
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 
@@ -8,6 +9,14 @@
 	"indigodrift/policy"
 )
 
+var endings = [...]string{policy.Released: "released", policy.Faulted: "error", policy.Blocked: "refused", policy.TimedOut: "timed out",
+	policy.Unreached: "not reached", policy.Cut: "reset", policy.Cancelled: "cancelled", policy.Unsent: "not sent"}
+
+// recordTry logs what became of the present try of a call.
+func (a *Agent) recordTry(k *call, why string) {
+	a.out.Record(Record{Kind: TryState, CallID: k.callID, Conn: k.link, Switch: k.far, Try: k.tries, From: k.state, To: k.state, Why: why})
+}
+
 // leftAsItStood ends a call whose switch answered after its caller had gone.
 func (a *Agent) leftAsItStood(k *call) {
 	handle, try, far := k.handle, k.tries-1, k.far
@@ -35,7 +44,12 @@
 		l.busyAt = a.now
 	}
 	l.triedAt = a.now
-	k.link, k.seq = l.conn, uint32(k.tries)
+	k.link, k.seq, k.sentAt = l.conn, uint32(k.tries), a.now
+	a.tries.Written++
+	if k.tries > 1 {
+		a.tries.Again++
+	}
+	a.recordTry(k, "written")
 	left := max(1, (k.limitAt-a.now)/10)
 	a.out.Write(l.conn, &sip.Message{Method: sip.Invite, URI: k.uri, CallID: k.callID, CSeq: k.seq,
 		Fields: []sip.Field{{Name: fieldClass, Value: k.class}, {Name: fieldExpires, Value: strconv.FormatInt(int64(left), 10)}},
@@ -56,8 +70,9 @@
 	}
 }
 
-// giveUpTry cancels the try that is out.
-func (a *Agent) giveUpTry(k *call) {
+// giveUpTry cancels the try that is out, and logs why.
+func (a *Agent) giveUpTry(k *call, why string) {
+	a.recordTry(k, why)
 	if k.link != 0 {
 		if f := a.far[k.far]; f != nil && f.link(k.link) != nil {
 			f.link(k.link).triedAt = a.now
@@ -73,6 +88,7 @@
 	if k == nil || k.state != Trying {
 		return
 	}
+	a.recordTry(k, "ended: "+endings[end])
 	a.become(k, Offered)
 	a.later = append(a.later, report{handle: handle, try: k.tries - 1, sw: k.far, end: end, rep: untold})
 }
@@ -94,6 +110,8 @@
 	a.offLink(k)
 	if m.Refusal() {
 		end, why, wait := readRefusal(m)
+		a.tries.Refused++
+		a.recordTry(k, "refused with "+strconv.Itoa(m.Status))
 		a.become(k, Offered)
 		a.later = append(a.later, report{handle: k.handle, try: k.tries - 1, sw: k.far, end: end, why: why, wait: wait, rep: rep})
 		return
@@ -106,6 +124,8 @@
 	a.writeAnswer(k, &sip.Message{Status: sip.OK, CallID: k.callID, CSeq: k.cseq, CSeqMethod: sip.Invite, Body: m.Body})
 	a.become(k, Standing)
 	a.tally.Stood++
+	a.tries.Stood++
+	a.recordTry(k, "answered")
 	a.decide.Stands(a.now, k.handle, k.tries-1)
 	if rep.Size >= 0 {
 		a.decide.Circuits(a.now, k.far, rep)
@@ -119,6 +139,9 @@
 	if k.tries == 0 || m.CSeq > k.seq {
 		return
 	}
+	a.tries.AnsweredLate++
+	a.out.Record(Record{Kind: AnswerIgnored, CallID: k.callID, Conn: c, Switch: f.entry.ID, Try: int(m.CSeq), To: k.state,
+		Why: fmt.Sprintf("status %d, try %d is the last", m.Status, k.tries)})
 	a.out.Write(c, &ack)
 	if m.Refusal() || k.far == f.entry.ID && (k.state == Standing || k.state == Trying) {
 		return
--- a/internal/platform/record.go
+++ b/internal/platform/record.go
@@ -14,7 +14,7 @@
 // recordLevel is the level at which a kind of record is logged: what happens to every call is for debugging only.
 func recordLevel(kind b2bua.RecordKind) slog.Level {
 	switch kind {
-	case b2bua.CallState, b2bua.ReleaseWritten, b2bua.SwitchSuspect:
+	case b2bua.CallState, b2bua.TryState, b2bua.CallRefused, b2bua.ReleaseWritten, b2bua.SwitchSuspect:
 		return slog.LevelDebug
 	case b2bua.ReleaseDropped, b2bua.ReleaseLate, b2bua.SetUpRefused:
 		return slog.LevelWarn
@@ -48,8 +48,9 @@
 	if r.Switch != 0 {
 		add(true, slog.String("switch", board.Text(r.Switch)))
 	}
+	add(r.Try != 0, slog.Int("try", r.Try))
 	add(r.Kind == b2bua.CallState, slog.String("from", r.From.String()))
-	add(r.Kind == b2bua.CallState || r.Kind == b2bua.ReleaseIgnored, slog.String("to", r.To.String()))
+	add(r.Kind == b2bua.CallState || r.Kind == b2bua.ReleaseIgnored || r.Kind == b2bua.AnswerIgnored, slog.String("to", r.To.String()))
 	add(r.Cause != 0, slog.Int("cause", r.Cause))
 	add(r.Copies != 0, slog.Int("copies", r.Copies))
 	add(r.Waited != 0, slog.Float64("waited_ms", float64(r.Waited)/10))
--- a/internal/platform/station.go
+++ b/internal/platform/station.go
@@ -492,7 +492,7 @@
 // summary writes what is believed, to be held against what passed on the sockets.
 func (s *Station) summary() {
 	t, open, standing, kept, callers, late := s.agent.Counts()
-	r := s.agent.Releases()
+	r, y := s.agent.Releases(), s.agent.Tries()
 	heap := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
 	metrics.Read(heap)
 	s.log.Info("summary", "taken", t.Taken, "stood", t.Stood, "blocked", t.Blocked, "aborted", t.Aborted, "left", t.Left,
@@ -501,7 +501,9 @@
 		"board", s.isUp, "late_ms", float64(late)/10, "stood_still", s.stood,
 		"memory_kb", (heap[0].Value.Uint64()-heap[1].Value.Uint64())>>10, "unsaid", s.unsaid,
 		slog.Group("releases", "written", r.Written, "repeated", r.Repeated, "unanswered", r.Unanswered, "confirmed", r.Confirmed,
-			"late", r.Late, "dropped", r.Dropped, "unknown", r.Unknown, "waiting", r.Waiting, "oldest_ms", float64(r.Oldest)/10))
+			"late", r.Late, "dropped", r.Dropped, "unknown", r.Unknown, "waiting", r.Waiting, "oldest_ms", float64(r.Oldest)/10),
+		slog.Group("tries", "written", y.Written, "again", y.Again, "stood", y.Stood, "refused", y.Refused, "timed_out", y.TimedOut,
+			"cancelled", y.Cancelled, "lost", y.Lost, "reset", y.Reset, "answered_late", y.AnsweredLate))
 	s.notes, s.unsaid, s.stood = 0, 0, 0
 	clear(s.recorded)
 }
