Failing tests: the release of a broken try ends the next one at the same switch

Cause 16, 41 and 31 alike: try 2 is taken for over 10 ms after it was written, no CANCEL; its 200 75 ms later is ignored and released; try 3 follows 75 ms after try 2 was set up, where 150 ms are to be awaited. With the BYE after try 2's answer the caller is told, the switch is not.

--- /dev/null
+++ b/cmd/indigodrift/route_try_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"indigodrift/internal/sip"
+	"indigodrift/internal/sip/siptest"
+)
+
+const (
+	netReleaseTime = 150 * time.Millisecond // release_guard of platformNet's settings
+	tryCallID      = "0000000000000100"
+)
+
+// brokenTry is a controller with one switch, which has read a call's first set-up and broken its answer off, and reads the second.
+type brokenTry struct {
+	*platformNet
+	caller *siptest.Peer
+	sw     *siptest.Peer // the connection of the second try
+	second sip.Message
+}
+
+// breakFirstAnswer sets one call up whose first answer breaks off within a message, which ends its connection.
+func breakFirstAnswer(t *testing.T) *brokenTry {
+	n := newPlatformNet(t)
+	n.start(1, switchEntries(n.switches[0].Addr().String()))
+	first := n.up(0)
+	time.Sleep(50 * time.Millisecond) // the state of the group is read
+	caller := n.caller()
+	caller.Say(platformSetUp(tryCallID, 1, ""))
+	m := first.Want(sip.Invite)
+	answer := m.Answer(sip.OK)
+	answer.Body = []byte("answer to the first try")
+	octets := sip.Append(nil, &answer)
+	first.Raw(string(octets[:len(octets)/2]))
+	first.Close()
+	next := n.up(0)
+	second := next.Want(sip.Invite)
+	if second.CallID != tryCallID || second.CSeq != 2 {
+		t.Fatalf("the switch read %+v", second)
+	}
+	return &brokenTry{platformNet: n, caller: caller, sw: next, second: second}
+}
+
+// answers has the switch set the second try up, as it works on it for a while.
+func (b *brokenTry) answers() {
+	time.Sleep(75 * time.Millisecond)
+	b.sw.Stand(b.second, "answer to the second try")
+}
+
+// wantsTheCallToStand wants the second answer to reach the caller, and no further try.
+func (b *brokenTry) wantsTheCallToStand() {
+	b.t.Helper()
+	if m, ok := b.caller.Next(2 * netReleaseTime); !ok || m.Status != sip.OK || string(m.Body) != "answer to the second try" {
+		b.t.Errorf("the caller read %v %+v", ok, m)
+	}
+	for until := time.Now().Add(2 * netReleaseTime); time.Now().Before(until); {
+		if m, ok := b.sw.Next(time.Until(until)); ok && (m.Method == sip.Invite || m.Method == sip.Bye || m.Method == sip.Cancel) {
+			b.t.Errorf("the switch read %s, CSeq %d", m.Method, m.CSeq)
+		}
+	}
+}
+
+// Guards against a try that is taken for over, and its call sent again too soon, when the release comes of what an earlier try left at that switch.
+func TestReleaseOfABrokenTryDoesNotEndTheNextOne(t *testing.T) {
+	for _, cause := range []int{16, 41, 31} {
+		t.Run(fmt.Sprint(cause), func(t *testing.T) {
+			b := breakFirstAnswer(t)
+			time.Sleep(10 * time.Millisecond)
+			b.sw.Say(siptest.Release(tryCallID, cause))
+			b.answers()
+			b.wantsTheCallToStand()
+		})
+	}
+}
+
+// Guards against a call that stands at its switch for nobody, when the release of an earlier try there is taken for its own.
+func TestReleaseOfABrokenTryWhileTheNextStandsLeavesNothingStanding(t *testing.T) {
+	b := breakFirstAnswer(t)
+	b.answers()
+	b.wantsTheCallToStand()
+	b.sw.Say(siptest.Release(tryCallID, 16)) // of either try: nothing on the wire tells which
+	b.caller.WantRelease(tryCallID)
+	for until := time.Now().Add(toldWithin); ; {
+		m, ok := b.sw.Next(time.Until(until))
+		if !ok {
+			t.Fatal("the caller was told that its call is over, the switch was not")
+		}
+		if m.Method == sip.Bye && m.CallID == tryCallID {
+			return
+		}
+	}
+}
