A try ends only by what names it: the states of one try are a type of their own

Cause: a release names the call, not the try. 'released' ended whatever try was out at that switch, without a CANCEL; after a broken answer the earlier try still stands there, ends, and is released. Class: an event without the identity of its try is applied to the try that is out. routeTry (route_try.go) has the states, one table of events and one place that changes them; timers name the try, waiting sets hold tries. A release where an earlier try may be meant ends no try that is out; one that may be of either ends the call on both sides. What an abandoned try may have left is released ahead of the next set-up there on the same connection, else once no try can come, never in between, where it could overtake and cut a later try. A late 200 starts the release time anew; a 200 that crosses our close is no longer lost; a try reset by a release is cancelled as well. State table: a late 200 after a 504 is released at the end of the call, not at once (see above); a BYE under a first try writes a CANCEL too. A test that wanted INVITE after a spoilt answer wants BYE, INVITE.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -10,7 +10,9 @@
 //	| 503                                                 | Ended(Blocked), with Warning-Word and P-Wait          |
 //	| 486, 500 and other refusals                         | Ended(Faulted)                                        |
 //	| 480                                                 | Ended(Unsent)                                         |
-//	| 504, a release before the answer, connection lost   | Ended(Cut)                                            |
+//	| 504, connection lost                                | Ended(Cut)                                            |
+//	| release before the answer of a first try            | CANCEL, Ended(Cut)                                    |
+//	| the same, where an earlier try may be meant         | nothing; the try goes on                              |
 //	| no connection in time, or refused                   | Ended(Unreached)                                      |
 //	| no answer in the try's time, never past the caller's | CANCEL, Ended(TimedOut); the module still owes an answer |
 //	| more than MaxTries, no such switch in the list      | Ended(Unsent)                                         |
@@ -21,7 +23,8 @@
 //	| NOTIFY                                              | Circuits                                              |
 //
 // Nothing is told to the module from inside its own Send or Cancel; what follows from these is told when it has returned.
-// An answer that comes for a try that was given up is acknowledged and released, never passed on.
+// An answer that comes for a try that was given up is acknowledged and never passed on; what stands by it is released ahead of the next set-up
+// at that switch, on the same connection, or once no further try can come. route_try.go has the states of a try.
 package b2bua
 
 import (
@@ -79,15 +82,13 @@
 	cseq     uint32 // of the caller's set-up
 	body     []byte // the caller's description, until the call stands
 	leavesAt policy.Tenths
-	tries    int
-	far      uint32 // switch of the present or last try
-	link     Conn   // 0 while the try waits for a connection
-	seq      uint32 // CSeq of the present or last try's set-up
-	limitAt  policy.Tenths
-	sentAt   policy.Tenths // when the present or last try's set-up was written
-	stoodAt  policy.Tenths
-	overAt   policy.Tenths
-	ended    bool // its caller knows that it is over, or is being told
+	tries    []*routeTry // in the order of their numbers; of an adopted call the one by which it stands
+	adopted  bool
+	// heldUntil is when the next try may be written: an answer to an earlier one came after that was given up, and the release time runs from there.
+	heldUntil policy.Tenths
+	stoodAt   policy.Tenths
+	overAt    policy.Tenths
+	ended     bool // its caller knows that it is over, or is being told
 	// answerPlace is where its answer stands in what was written on its caller's connection, 0 before.
 	answerPlace uint64
 }
@@ -102,7 +103,8 @@
 )
 
 const (
-	dueTry due.Kind = iota
+	dueTry  due.Kind = iota // the limit of a try
+	dueHold                 // a try that was held may be placed
 	dueLeave
 	dueWake
 	dueRelease
@@ -197,11 +199,9 @@
 		case dueRelease:
 			a.releaseDue(d)
 		case dueTry:
-			if k != nil && k.state == Trying && k.limitAt == d.At {
-				a.tries.TimedOut++
-				a.giveUpTry(k, "no answer in time")
-				a.endTry(k.handle, policy.TimedOut)
-			}
+			a.limitReached(k, int(d.Token>>32))
+		case dueHold:
+			a.holdOver(k, int(d.Token>>32))
 		case dueLeave:
 			a.expire(k)
 		}
@@ -232,7 +232,7 @@
 		r := a.later[0]
 		a.later = a.later[1:]
 		k := a.byHandle[r.handle]
-		if k == nil || k.state != Offered || k.tries-1 != r.try {
+		if k == nil || k.state != Offered || len(k.tries)-1 != r.try {
 			continue
 		}
 		if r.left {
@@ -264,11 +264,13 @@
 	case k.state == Standing:
 		a.standing--
 	}
-	a.out.Record(Record{Kind: CallState, CallID: k.callID, Conn: k.caller, Switch: k.far, From: k.state, To: s})
-	if k.state = s; s == Over {
+	a.out.Record(Record{Kind: CallState, CallID: k.callID, Conn: k.caller, Switch: k.far(), From: k.state, To: s})
+	k.state = s
+	if s == Over {
 		delete(a.byHandle, k.handle)
 		a.remember(k)
 	}
+	a.releaseTryLeft(k)
 }
 
 // remember keeps a call that is over for a while.
@@ -316,7 +318,7 @@
 	if comeBack > 0 {
 		m.Fields = []sip.Field{{Name: fieldBackOff, Value: strconv.FormatInt(int64((comeBack+9)/10), 10)}}
 	}
-	a.out.Record(Record{Kind: CallRefused, CallID: k.callID, Conn: k.caller, Switch: k.far, Try: k.tries, Why: strconv.Itoa(status)})
+	a.out.Record(Record{Kind: CallRefused, CallID: k.callID, Conn: k.caller, Switch: k.far(), Try: len(k.tries), Why: strconv.Itoa(status)})
 	a.writeAnswer(k, &m)
 }
 
@@ -325,10 +327,10 @@
 	a.decide.CallerLeft(a.now, k.handle)
 	if k.state == Trying {
 		a.tries.Cancelled++
-		a.giveUpTry(k, "its caller has left, or its call has failed")
-		handle, try, far := k.handle, k.tries-1, k.far
+		t := k.last()
+		a.abandon(t, "its caller has left, or its call has failed")
 		a.become(k, Over)
-		a.decide.Ended(a.now, handle, try, far, policy.Cancelled, true, policy.NoReason, 0, untold)
+		a.decide.Ended(a.now, k.handle, t.number, t.sw, policy.Cancelled, true, policy.NoReason, 0, untold)
 		return
 	}
 	a.become(k, Over)
@@ -338,11 +340,13 @@
 
 // ended tells the module of the end of a standing call and forgets it.
 func (a *Agent) ended(k *call, end policy.Ending, rep policy.Report) {
+	t := k.last()
+	a.advance(t, eventRelease, "the call is over")
 	a.become(k, Over)
 	if k.handle != 0 {
-		a.decide.Ended(a.now, k.handle, k.tries-1, k.far, end, true, policy.NoReason, 0, rep)
-	} else if rep.Size >= 0 && a.far[k.far] != nil {
-		a.decide.Circuits(a.now, k.far, rep)
+		a.decide.Ended(a.now, k.handle, t.number, t.sw, end, true, policy.NoReason, 0, rep)
+	} else if rep.Size >= 0 && a.far[t.sw] != nil {
+		a.decide.Circuits(a.now, t.sw, rep)
 	}
 	if end == policy.Cut {
 		a.tally.Cut++
@@ -356,10 +360,7 @@
 	a.now = now
 	sw, ok := a.linkOf[c]
 	if !ok {
-		if f := a.far[a.closing[c]]; f != nil && m.Method == sip.Bye { // it crossed the close
-			a.released(f, c, m)
-			a.settle()
-		}
+		a.crossesSwitchClose(c, m)
 		return
 	}
 	f := a.far[sw]
@@ -396,6 +397,22 @@
 	a.settle()
 }
 
+// crossesSwitchClose takes a message that came while its connection to a switch was closed here: a release is worth as much as before, and what
+// was answered stands there.
+func (a *Agent) crossesSwitchClose(c Conn, m *sip.Message) {
+	sw, ok := a.closing[c]
+	f := a.far[sw]
+	switch {
+	case !ok || f == nil:
+		return
+	case m.Method == sip.Bye:
+		a.released(f, c, m)
+	case m.Status != 0 && m.CSeqMethod == sip.Invite:
+		a.answer(f, c, m)
+	}
+	a.settle()
+}
+
 // Far is what is believed of one switch, for the log.
 type Far struct {
 	ID         string
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -227,7 +227,8 @@
 		}
 		return
 	}
-	k := &call{id: in.id, state: Standing, caller: o.conn, callID: m.CallID, uri: m.URI, far: in.at, stoodAt: a.now}
+	k := &call{id: in.id, state: Standing, caller: o.conn, callID: m.CallID, uri: m.URI, adopted: true, stoodAt: a.now}
+	k.tries = []*routeTry{{call: k, sw: in.at, state: tryStanding}}
 	a.calls[k.id] = k
 	a.standing++
 	if f := a.far[in.at]; f != nil && f.refetchAt == 0 {
@@ -253,7 +254,7 @@
 		a.tally.Left++
 	case Standing: // it crossed the answer
 		a.tally.Crossed++
-		a.releaseSwitch(k.far, k.link, a.bye(k.callID, k.uri, causeNormal))
+		a.releaseSwitch(k.far(), k.last().conn, a.bye(k.callID, k.uri, causeNormal))
 		a.ended(k, policy.Cancelled, untold)
 	}
 }
@@ -272,7 +273,7 @@
 	a.confirmed(k)
 	switch k.state {
 	case Standing:
-		a.releaseSwitch(k.far, k.link, a.bye(k.callID, k.uri, max(cause(m), causeNormal)))
+		a.releaseSwitch(k.far(), k.last().conn, a.bye(k.callID, k.uri, max(cause(m), causeNormal)))
 		a.ended(k, policy.Cancelled, untold)
 	case Offered, Trying:
 		a.left(k)
--- a/internal/b2bua/desk.go
+++ b/internal/b2bua/desk.go
@@ -16,24 +16,26 @@
 		a.out.Note("fault: the module sends a call that is over or has a try out")
 		return
 	}
-	k.tries++
-	k.far, k.link = to, 0
+	t := &routeTry{call: k, number: len(k.tries), sw: to, state: tryHeld}
+	k.tries = append(k.tries, t)
 	if a.out.Left(k.caller, k.callID) { // no try may begin for a caller who has gone
-		a.later = append(a.later, report{handle: id, try: k.tries - 1, left: true})
+		a.advance(t, eventDrop, "its caller has left")
+		a.later = append(a.later, report{handle: id, try: t.number, left: true})
 		return
 	}
 	f := a.far[to]
-	if f == nil || !a.wanted(f) || k.tries > a.set.Module.MaxTries || a.now >= k.leavesAt {
-		a.later = append(a.later, report{handle: id, try: k.tries - 1, sw: to, end: policy.Unsent, rep: untold})
+	if f == nil || !a.wanted(f) || len(k.tries) > a.set.Module.MaxTries || a.now >= k.leavesAt {
+		a.advance(t, eventDrop, "no such switch, too many tries, or too late")
+		a.later = append(a.later, report{handle: id, try: t.number, sw: to, end: policy.Unsent, rep: untold})
 		return
 	}
-	k.limitAt = k.leavesAt
+	t.limitAt = k.leavesAt
 	if limit > 0 {
-		k.limitAt = min(k.limitAt, a.now+limit)
+		t.limitAt = min(t.limitAt, a.now+limit)
 	}
 	a.become(k, Trying)
-	a.timers.Set(k.limitAt, dueTry, uint64(id))
-	a.setUp(k, f)
+	a.timers.Set(t.limitAt, dueTry, t.token())
+	a.place(t, f)
 }
 
 // Block gives the final answer "refused": trying again is harmless.
@@ -59,10 +61,10 @@
 // Cancel calls a try off.
 func (d *desk) Cancel(id uint32, try int) {
 	a := (*Agent)(d)
-	if k := a.byHandle[id]; k != nil && k.state == Trying && try == k.tries-1 {
+	if k := a.byHandle[id]; k != nil && k.state == Trying && try == k.last().number {
 		a.tries.Cancelled++
-		a.giveUpTry(k, "called off")
-		a.endTry(id, policy.Cancelled)
+		a.abandon(k.last(), "called off")
+		a.endTry(k.last(), policy.Cancelled)
 	}
 }
 
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -107,7 +107,7 @@
 type farEnd struct {
 	entry   board.Switch
 	links   []*link
-	waiting []uint32 // calls whose route try waits for a connection
+	waiting []*routeTry // those that wait for a connection
 	owed    []sip.Message
 	dialing bool
 	ticket  uint32
@@ -252,32 +252,34 @@
 func (a *Agent) openAt(f *farEnd, release *sip.Message) bool {
 	id, err := readID(release.CallID)
 	k := a.calls[id]
-	return err == nil && k != nil && k.far == f.entry.ID && (k.state == Trying || k.state == Standing)
+	return err == nil && k != nil && k.far() == f.entry.ID && (k.state == Trying || k.state == Standing)
 }
 
 // sendWaiting sends the set-ups that wait for a connection to a switch.
 func (a *Agent) sendWaiting(f *farEnd) {
 	waiting := f.waiting
 	f.waiting = nil
-	for _, h := range waiting {
-		k := a.byHandle[h]
-		switch {
-		case k == nil || k.state != Trying || k.link != 0 || k.far != f.entry.ID:
-		case a.out.Left(k.caller, k.callID):
+	for _, t := range waiting {
+		if t.state != tryWaiting {
+			continue
+		}
+		if k := t.call; a.out.Left(k.caller, k.callID) {
 			a.left(k)
 			a.tally.Left++
-		default:
-			a.setUp(k, f)
+			continue
 		}
+		a.place(t, f)
 	}
 }
 
 // unreached ends the route tries that wait for a connection to a switch.
 func (a *Agent) unreached(f *farEnd) {
-	for _, h := range f.waiting {
-		a.endTry(h, policy.Unreached)
-	}
+	waiting := f.waiting
 	f.waiting = nil
+	for _, t := range waiting {
+		a.drop(t, "its switch is not reached")
+		a.endTry(t, policy.Unreached)
+	}
 }
 
 // LinkPart tells that a message lies half read on a connection to a switch since an instant.
@@ -322,11 +324,12 @@
 			a.fetch(f)
 		}
 	}
-	cut := a.inOrder(func(k *call) bool { return k.state == Trying && k.link == c })
+	cut := a.inOrder(func(k *call) bool { return k.state == Trying && k.last().state == tryOut && k.last().conn == c })
 	a.out.Record(Record{Kind: SwitchDown, Conn: c, Switch: sw, Why: fmt.Sprintf("%d set-ups open on it", len(cut))})
 	for _, k := range cut {
 		a.tries.Lost++
-		a.endTry(k.handle, policy.Cut)
+		a.advance(k.last(), eventAbandon, "its connection has ended")
+		a.endTry(k.last(), policy.Cut)
 	}
 	a.settle()
 }
@@ -335,13 +338,13 @@
 func (a *Agent) dropLinks(f *farEnd, why string, which func(*link) bool) {
 	for _, l := range slices.Clone(f.links) {
 		if which(l) {
-			a.drop(f, l, why, false)
+			a.closeLink(f, l, why, false)
 		}
 	}
 }
 
-// drop closes a connection to a switch. With whole it works: what crosses the close is still read.
-func (a *Agent) drop(f *farEnd, l *link, why string, whole bool) {
+// closeLink closes a connection to a switch. With whole it works: what crosses the close is still read.
+func (a *Agent) closeLink(f *farEnd, l *link, why string, whole bool) {
 	a.out.Close(l.conn, why)
 	a.LinkDown(a.now, l.conn, whole)
 	a.closing[l.conn] = f.entry.ID
@@ -349,7 +352,7 @@
 
 // cutStanding ends the calls that stood at a switch before an instant: their release cannot come any more.
 func (a *Agent) cutStanding(f *farEnd, before policy.Tenths, why string) {
-	cut := a.inOrder(func(k *call) bool { return k.state == Standing && k.far == f.entry.ID && k.stoodAt < before })
+	cut := a.inOrder(func(k *call) bool { return k.standsAt(f.entry.ID) && k.stoodAt < before })
 	if len(cut) > 0 {
 		a.out.Note(fmt.Sprintf("%d calls that stood at %s are taken as cut: %s", len(cut), board.Text(f.entry.ID), why))
 	}
@@ -379,7 +382,7 @@
 			}
 			switch {
 			case l.partAt != 0 && a.silentFor(l.partAt) > partMost:
-				a.drop(f, l, "half a message and no more", false)
+				a.closeLink(f, l, "half a message and no more", false)
 			case a.unheard(l) > f.signWithin():
 				a.silent(f, l)
 			case l.askedAt == 0 && quiet > most:
--- a/internal/b2bua/fetch.go
+++ b/internal/b2bua/fetch.go
@@ -39,7 +39,7 @@
 			return
 		}
 		well := idle.heard && idle.askedAt == 0
-		a.drop(f, idle, "a new connection to this switch is needed", well)
+		a.closeLink(f, idle, "a new connection to this switch is needed", well)
 	}
 	a.dial(f)
 }
@@ -58,10 +58,10 @@
 func (a *Agent) refetch(f *farEnd) {
 	f.refetchAt = a.now + refetchEvery
 	for _, k := range a.calls {
-		if k.state != Standing || k.far != f.entry.ID {
+		if !k.standsAt(f.entry.ID) {
 			continue
 		}
-		if own := f.link(k.link); own == nil || own.silent {
+		if own := f.link(k.last().conn); own == nil || own.silent {
 			f.fetchFrom = a.tickets + 1
 			return
 		}
@@ -108,7 +108,7 @@
 		}
 	}
 	if l.triedAt >= l.heardAt && l.triedAt != 0 || l.silent || kept >= silentMost {
-		a.drop(f, l, "no sign of life", false)
+		a.closeLink(f, l, "no sign of life", false)
 		return
 	}
 	l.silent = true
--- a/internal/b2bua/record.go
+++ b/internal/b2bua/record.go
@@ -21,14 +21,15 @@
 	SwitchDown                          // a connection to a switch ended
 	CallerDown                          // a caller's connection ended with set-ups or releases open on it
 	TryState                            // a route try was written, or ended
-	TryReset                            // a switch released a call while a route try was out there
+	TryReset                            // a switch released a call while its first route try was out there
+	TryEventIgnored                     // something came for a route try that means nothing in its state
 	AnswerIgnored                       // a switch answered a set-up for which nobody waits
 	CallRefused                         // a call was refused or failed
 )
 
 var recordNames = [...]string{"call state", "a caller's message is refused", "release written", "release repeated", "release waits",
 	"release unanswered", "release late", "release dropped", "release of an unknown call", "release ignored", "switch connection suspect",
-	"switch connection ended", "caller connection ended", "try state", "try reset by a release", "answer ignored", "call refused"}
+	"switch connection ended", "caller connection ended", "try state", "try reset by a release", "try event ignored", "answer ignored", "call refused"}
 
 func (k RecordKind) String() string { return recordNames[k] }
 
--- a/internal/b2bua/release.go
+++ b/internal/b2bua/release.go
@@ -107,7 +107,7 @@
 	waited := a.now - r.cameAt
 	if r.written > 0 {
 		a.releases.Unanswered++
-		a.out.Record(Record{Kind: ReleaseUnanswered, CallID: k.callID, Conn: k.caller, Switch: k.far, Copies: r.written, Waited: waited})
+		a.out.Record(Record{Kind: ReleaseUnanswered, CallID: k.callID, Conn: k.caller, Switch: k.far(), Copies: r.written, Waited: waited})
 	}
 	switch {
 	case r.askedAt != 0 && a.now-r.askedAt >= keepTold:
@@ -147,7 +147,7 @@
 func (a *Agent) writeCopies(r *pendingRelease, candidates []*callerConn, copies int) {
 	if len(candidates) == 0 && r.written == 0 && !r.reported {
 		r.reported = true
-		a.out.Record(Record{Kind: ReleaseWaits, CallID: r.call.callID, Switch: r.call.far, Why: "no caller's connection is open"})
+		a.out.Record(Record{Kind: ReleaseWaits, CallID: r.call.callID, Switch: r.call.far(), Why: "no caller's connection is open"})
 	}
 	copies = min(copies, len(candidates), copiesMost-r.spread)
 	for _, o := range candidates[:max(0, copies)] {
@@ -170,7 +170,7 @@
 	} else {
 		a.releases.Repeated++
 	}
-	a.out.Record(Record{Kind: kind, CallID: k.callID, Conn: o.conn, Switch: k.far, Cause: r.cause, Copies: r.written, Waited: a.now - r.cameAt})
+	a.out.Record(Record{Kind: kind, CallID: k.callID, Conn: o.conn, Switch: k.far(), Cause: r.cause, Copies: r.written, Waited: a.now - r.cameAt})
 	r.on = append(r.on, o.conn)
 	o.wrote++
 	o.copies = append(o.copies, releaseCopy{release: r, place: o.wrote, at: a.now})
@@ -222,14 +222,14 @@
 	a.releases.Confirmed++
 	if waited > tellWithin {
 		a.releases.Late++
-		a.out.Record(Record{Kind: ReleaseLate, CallID: k.callID, Conn: k.caller, Switch: k.far, Copies: r.written, Waited: waited})
+		a.out.Record(Record{Kind: ReleaseLate, CallID: k.callID, Conn: k.caller, Switch: k.far(), Copies: r.written, Waited: waited})
 	}
 	a.dropRelease(r)
 }
 
 func (a *Agent) giveUpRelease(r *pendingRelease, why string) {
 	a.releases.Dropped++
-	a.out.Record(Record{Kind: ReleaseDropped, CallID: r.call.callID, Switch: r.call.far, Copies: r.written, Waited: a.now - r.cameAt, Why: why})
+	a.out.Record(Record{Kind: ReleaseDropped, CallID: r.call.callID, Switch: r.call.far(), Copies: r.written, Waited: a.now - r.cameAt, Why: why})
 	a.dropRelease(r)
 }
 
--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -38,23 +38,33 @@
 		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
 		a.remember(k)
 		a.releaseCaller(k, why)
-	case k.state == Standing && k.far == f.entry.ID:
+	case k.standsAt(f.entry.ID):
 		a.releaseCaller(k, why)
+		if k.earlierMayBeReleased(f.entry.ID) { // or the call stands there still, for nobody
+			a.releaseSwitch(f.entry.ID, k.last().conn, a.bye(k.callID, k.uri, causeNormal))
+		}
 		if why == causeNormal {
 			a.ended(k, policy.Released, rep)
 		} else {
 			a.ended(k, policy.Cut, rep)
 		}
-	case k.state == Trying && k.far == f.entry.ID && k.link != 0:
-		a.tries.Reset++
-		a.out.Record(Record{Kind: TryReset, CallID: m.CallID, Conn: c, Switch: k.far, Try: k.tries, Cause: why, Waited: a.now - k.sentAt, Why: fmt.Sprintf("its set-up is on connection %d", k.link)})
-		a.offLink(k)
-		a.endTry(k.handle, policy.Cut)
+	case k.state == Trying && k.far() == f.entry.ID && k.last().state == tryOut && !k.earlierMayBeReleased(f.entry.ID):
+		a.resetTry(k.last(), c, why)
 	default:
-		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Conn: c, Switch: f.entry.ID, Try: k.tries, To: k.state, Cause: why})
+		a.out.Record(Record{Kind: ReleaseIgnored, CallID: m.CallID, Conn: c, Switch: f.entry.ID, Try: len(k.tries), To: k.state, Cause: why})
 	}
 }
 
+// resetTry ends a try that is out as its switch releases the call. It is taken back all the same: the release may be of a set-up under this id
+// from before this process started.
+func (a *Agent) resetTry(t *routeTry, c Conn, why int) {
+	a.tries.Reset++
+	a.out.Record(Record{Kind: TryReset, CallID: t.call.callID, Conn: c, Switch: t.sw, Try: t.number + 1, Cause: why, Waited: a.now - t.sentAt,
+		Why: fmt.Sprintf("its set-up is on connection %d", t.conn)})
+	a.abandon(t, "released before an answer")
+	a.endTry(t, policy.Cut)
+}
+
 // releaseSwitch releases a call towards its switch, on any connection; where none is open, on the next that opens.
 func (a *Agent) releaseSwitch(sw uint32, link Conn, m *sip.Message) {
 	f := a.far[sw]
--- /dev/null
+++ b/internal/b2bua/route_try_test.go
@@ -0,0 +1,166 @@
+package b2bua
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"indigodrift/internal/sip"
+	"indigodrift/policy"
+)
+
+// secondTry is a call whose first try at switch 1 was lost with its connection, and whose second is out there on another.
+func secondTry(t *testing.T) (r *rig, k *heardOf) {
+	r = newRig(t)
+	r.dialAll(10, 10)
+	k = r.offer(r.callerUp(), 1, 2000)
+	r.linkDown(k.tryOn)
+	r.dialAll(10, 10)
+	r.pass(releaseTime + 2)
+	if k.tryOn == 0 || k.trySwitch != 1 || k.trySeq != 2 {
+		t.Fatalf("no second try: %+v", *k)
+	}
+	return r, k
+}
+
+// tryOf is the state of a try of a call, by its number from 1.
+func (r *rig) tryOf(k *heardOf, number int) tryState {
+	id, _ := readID(k.id)
+	return r.a.calls[id].tries[number-1].state
+}
+
+// Guards against a try that ends by the release of an earlier one at that switch, on whichever connection that comes.
+func TestReleaseOfAnEarlierTryEndsNoLaterOne(t *testing.T) {
+	for _, cause := range []int{16, 41, 31} {
+		for name, on := range map[string]func(*rig, *heardOf) Conn{
+			"its own connection": func(r *rig, k *heardOf) Conn { return k.tryOn },
+			"another": func(r *rig, k *heardOf) Conn {
+				r.a.dial(r.a.far[1])
+				return r.dial(false, true)
+			},
+			"one that is being closed": func(r *rig, k *heardOf) Conn {
+				r.a.dial(r.a.far[1])
+				c := r.dial(false, true)
+				r.a.closeLink(r.a.far[1], r.a.far[1].link(c), "test", true)
+				return c
+			},
+		} {
+			t.Run(fmt.Sprintf("cause %d on %s", cause, name), func(t *testing.T) {
+				r, k := secondTry(t)
+				r.a.FromSwitch(r.now, on(r, k), r.bye(k.id, cause))
+				if r.pass(100); k.tryOn == 0 || len(k.given) > 0 {
+					t.Fatal("the second try is over")
+				}
+				if r.answer(k, sip.OK); !k.stood {
+					t.Error("the answer was not passed on")
+				}
+			})
+		}
+	}
+}
+
+// Guards against a release that cuts a later try: it goes ahead of that, on the same connection, which keeps their order.
+func TestWhatALostTryLeftIsReleasedAheadOfTheNextSetUpThere(t *testing.T) {
+	r, k := secondTry(t)
+	if got := withoutTests(r.sent(k.tryOn)); got != "BYE INVITE" {
+		t.Errorf("the switch read %q", got)
+	}
+	if r.tryOf(k, 1) != tryOver || r.tryOf(k, 2) != tryOut {
+		t.Errorf("tries are %v and %v", r.tryOf(k, 1), r.tryOf(k, 2))
+	}
+}
+
+// Guards against a call that stands at its switch for nobody, since a release that may have been an earlier try's ended it.
+func TestReleaseThatMayBeOfEitherTryLeavesNothingStanding(t *testing.T) {
+	r, k := secondTry(t)
+	on := k.tryOn
+	r.answer(k, sip.OK)
+	k.overAt, k.callerEnded = r.now, false
+	from := len(r.wrote)
+	k.standsAt = 0 // for the rig: the release is of this one
+	r.a.FromSwitch(r.now, on, r.bye(k.id, 16))
+	var wrote []string
+	for _, w := range r.wrote[from:] {
+		wrote = append(wrote, w.m.Method)
+	}
+	if got := strings.TrimSpace(strings.Join(wrote, " ")); got != "BYE BYE" || k.callerReleased != 1 {
+		t.Errorf("written %q, the caller was told %d times", got, k.callerReleased)
+	}
+}
+
+// Guards against a call that is sent again before the release time has passed since an answer that came after its try was given up.
+func TestReleaseTimeRunsFromALateAnswer(t *testing.T) {
+	r := newRig(t)
+	r.dialAll(10, 10)
+	k := r.offer(r.callerUp(), 1, 2000)
+	on := k.tryOn
+	id, _ := readID(k.id)
+	r.a.abandon(r.a.calls[id].last(), "test")
+	r.a.endTry(r.a.calls[id].last(), policy.Cancelled)
+	r.a.settle()
+	r.pass(releaseTime - 500)
+	k.notBefore = r.now + releaseTime // the rig finds a set-up before that
+	r.a.FromSwitch(r.now, on, &sip.Message{Status: sip.OK, CallID: k.id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("late")})
+	if got := withoutTests(r.sent(on)); got != "INVITE CANCEL ACK" || r.tryOf(k, 1) != tryLeftStanding {
+		t.Errorf("the switch read %q, the try is %v", got, r.tryOf(k, 1))
+	}
+	if r.pass(600); r.tryOf(k, 2) != tryHeld {
+		t.Fatalf("the second try is %v", r.tryOf(k, 2))
+	}
+	if r.pass(950); k.tryOn == 0 || withoutTests(r.sent(k.tryOn)) != "INVITE CANCEL ACK BYE INVITE" {
+		t.Errorf("the switch read %q", r.sent(on))
+	}
+}
+
+// Guards against a call left standing at a switch where a later try was out as the late answer of the earlier one came.
+func TestCallLeftStandingIsReleasedOnceNoTryCanCome(t *testing.T) {
+	r, k := secondTry(t)
+	on := k.tryOn
+	r.a.FromSwitch(r.now, on, &sip.Message{Status: sip.OK, CallID: k.id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("late")})
+	if got := withoutTests(r.sent(on)); got != "BYE INVITE ACK" || k.stood {
+		t.Fatalf("the switch read %q, stood %v", got, k.stood)
+	}
+	r.pass(20000) // the second try is never answered
+	if got := withoutTests(r.sent(on)); got != "BYE INVITE ACK CANCEL BYE" {
+		t.Errorf("the switch read %q", got)
+	}
+}
+
+// Guards against an answer that crosses our close of its connection and leaves the call standing.
+func TestAnswerThatCrossesOurCloseIsReleased(t *testing.T) {
+	r := newRig(t)
+	r.dialAll(10, 10)
+	k := r.offer(r.callerUp(), 1, 500)
+	f := r.a.far[1]
+	on := k.tryOn
+	r.a.closeLink(f, f.link(on), "test", false)
+	r.a.settle()
+	r.dialAll(10, 10)
+	r.a.FromSwitch(r.now, on, &sip.Message{Status: sip.OK, CallID: k.id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("late")})
+	k.standsAt = 1
+	if r.pass(20000); k.switchReleased != 1 || k.answers != 1 {
+		t.Errorf("released %d times at its switch, %d answers", k.switchReleased, k.answers)
+	}
+}
+
+// Guards against a try that is left out at its switch when that releases the call before an answer, as it may mean an earlier life's.
+func TestTryThatItsSwitchReleasesIsTakenBack(t *testing.T) {
+	r := newRig(t)
+	r.dialAll(10, 10)
+	k := r.offer(r.callerUp(), 1, 2000)
+	on := k.tryOn
+	r.a.FromSwitch(r.now, on, r.bye(k.id, 41))
+	if got := withoutTests(r.sent(on)); got != "INVITE 200 CANCEL" || len(k.given) != 1 {
+		t.Errorf("the switch read %q", got)
+	}
+}
+
+// Guards against a timer that acts on a try other than its own.
+func TestLimitOfAnEarlierTryDoesNotEndALaterOne(t *testing.T) {
+	r, k := secondTry(t)
+	id, _ := readID(k.id)
+	r.a.limitReached(r.a.calls[id], 0)
+	if k.tryOn == 0 || r.tryOf(k, 2) != tryOut {
+		t.Errorf("the second try is %v", r.tryOf(k, 2))
+	}
+}
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -5,92 +5,114 @@
 	"slices"
 	"strconv"
 
+	"indigodrift/internal/board"
 	"indigodrift/internal/sip"
 	"indigodrift/policy"
 )
 
-var endings = [...]string{policy.Released: "released", policy.Faulted: "error", policy.Blocked: "refused", policy.TimedOut: "timed out",
-	policy.Unreached: "not reached", policy.Cut: "reset", policy.Cancelled: "cancelled", policy.Unsent: "not sent"}
-
-// recordTry logs what became of the present try of a call.
-func (a *Agent) recordTry(k *call, why string) {
-	a.out.Record(Record{Kind: TryState, CallID: k.callID, Conn: k.link, Switch: k.far, Try: k.tries, From: k.state, To: k.state, Why: why})
-}
-
 // leftAsItStood ends a call whose switch answered after its caller had gone.
 func (a *Agent) leftAsItStood(k *call) {
-	handle, try, far := k.handle, k.tries-1, k.far
-	a.decide.CallerLeft(a.now, handle)
+	t := k.last()
+	a.decide.CallerLeft(a.now, k.handle)
 	a.become(k, Over)
-	a.decide.Ended(a.now, handle, try, far, policy.Cancelled, true, policy.NoReason, 0, untold)
+	a.decide.Ended(a.now, k.handle, t.number, t.sw, policy.Cancelled, true, policy.NoReason, 0, untold)
 	a.tally.Left++
 }
 
-// setUp writes a set-up on a connection of the switch.
-func (a *Agent) setUp(k *call, f *farEnd) {
-	l := a.room(f, a.set.StreamsMost)
-	if l == nil {
-		f.waiting = append(f.waiting, k.handle)
-		if a.awaited(f) {
-			return
-		}
-		if a.dial(f); a.full() && !f.dialing { // nothing to wait for
-			a.offLink(k)
-			a.endTry(k.handle, policy.Unreached)
-		}
+// place writes the set-up of a try on a connection of its switch, or has it wait for one.
+func (a *Agent) place(t *routeTry, f *farEnd) {
+	if a.now < t.call.heldUntil {
+		a.advance(t, eventHold, "the release time runs")
+		a.timers.Set(t.call.heldUntil, dueHold, t.token())
+		return
+	}
+	if l := a.room(f, a.set.StreamsMost); l != nil {
+		a.clearSwitch(t, l)
+		a.writeSetUp(t, l)
+		return
+	}
+	a.advance(t, eventWait, "no connection can take it")
+	f.waiting = append(f.waiting, t)
+	if a.awaited(f) {
 		return
 	}
+	if a.dial(f); a.full() && !f.dialing { // nothing to wait for
+		a.drop(t, "no descriptor is left")
+		a.endTry(t, policy.Unreached)
+	}
+}
+
+func (a *Agent) writeSetUp(t *routeTry, l *link) {
 	if l.tries++; l.tries == 1 {
 		l.busyAt = a.now
 	}
 	l.triedAt = a.now
-	k.link, k.seq, k.sentAt = l.conn, uint32(k.tries), a.now
+	t.conn, t.sentAt = l.conn, a.now
 	a.tries.Written++
-	if k.tries > 1 {
+	if t.number > 0 {
 		a.tries.Again++
 	}
-	a.recordTry(k, "written")
-	left := max(1, (k.limitAt-a.now)/10)
-	a.out.Write(l.conn, &sip.Message{Method: sip.Invite, URI: k.uri, CallID: k.callID, CSeq: k.seq,
+	a.advance(t, eventWrite, "written")
+	k, left := t.call, max(1, (t.limitAt-a.now)/10)
+	a.out.Write(l.conn, &sip.Message{Method: sip.Invite, URI: k.uri, CallID: k.callID, CSeq: t.cseq(),
 		Fields: []sip.Field{{Name: fieldClass, Value: k.class}, {Name: fieldExpires, Value: strconv.FormatInt(int64(left), 10)}},
 		Body:   k.body})
 }
 
-// offLink takes a try off its connection, or from those that wait for one: left among these, it would be ended again when
-// the dial fails, though a later try of the call is out by then.
-func (a *Agent) offLink(k *call) {
-	f := a.far[k.far]
-	if f == nil {
+// holdOver places a try that was held.
+func (a *Agent) holdOver(k *call, number int) {
+	if k == nil || k.state != Trying || k.last().number != number || k.last().state != tryHeld {
 		return
 	}
-	if k.link == 0 {
-		f.waiting = slices.DeleteFunc(f.waiting, func(h uint32) bool { return h == k.handle })
-	} else if l := f.link(k.link); l != nil {
-		l.tries--
+	t := k.last()
+	f := a.far[t.sw]
+	switch {
+	case a.out.Left(k.caller, k.callID):
+		a.left(k)
+		a.tally.Left++
+	case f == nil || f.entry.State != board.Ready:
+		a.drop(t, "its switch drains or is gone")
+		a.endTry(t, policy.Unreached)
+	default:
+		a.place(t, f)
 	}
 }
 
-// giveUpTry cancels the try that is out, and logs why.
-func (a *Agent) giveUpTry(k *call, why string) {
-	a.recordTry(k, why)
-	if k.link != 0 {
-		if f := a.far[k.far]; f != nil && f.link(k.link) != nil {
-			f.link(k.link).triedAt = a.now
-		}
-		a.out.Write(k.link, &sip.Message{Method: sip.Cancel, URI: k.uri, CallID: k.callID, CSeq: k.seq})
+// limitReached gives a try up that was not answered in time.
+func (a *Agent) limitReached(k *call, number int) {
+	if k == nil || k.state != Trying || k.last().number != number {
+		return
 	}
-	a.offLink(k)
+	a.tries.TimedOut++
+	a.abandon(k.last(), "no answer in time")
+	a.endTry(k.last(), policy.TimedOut)
 }
 
-// endTry puts a call whose try is over back to the module, once that has returned.
-func (a *Agent) endTry(handle uint32, end policy.Ending) {
-	k := a.byHandle[handle]
-	if k == nil || k.state != Trying {
+// drop takes a try that was not written from those that wait.
+func (a *Agent) drop(t *routeTry, why string) {
+	if f := a.far[t.sw]; f != nil {
+		f.waiting = slices.DeleteFunc(f.waiting, func(other *routeTry) bool { return other == t })
+	}
+	a.advance(t, eventDrop, why)
+}
+
+// abandon gives the present try of a call up: what is out is taken back at its switch first.
+func (a *Agent) abandon(t *routeTry, why string) {
+	if t.unplaced() {
+		a.drop(t, why)
 		return
 	}
-	a.recordTry(k, "ended: "+endings[end])
-	a.become(k, Offered)
-	a.later = append(a.later, report{handle: handle, try: k.tries - 1, sw: k.far, end: end, rep: untold})
+	if l := a.linkOn(t.sw, t.conn); l != nil {
+		l.triedAt = a.now
+	}
+	a.out.Write(t.conn, &sip.Message{Method: sip.Cancel, URI: t.call.uri, CallID: t.call.callID, CSeq: t.cseq()})
+	a.advance(t, eventAbandon, why)
+}
+
+// endTry puts a call whose try is over back to the module, once that has returned.
+func (a *Agent) endTry(t *routeTry, end policy.Ending) {
+	a.become(t.call, Offered)
+	a.later = append(a.later, report{handle: t.call.handle, try: t.number, sw: t.sw, end: end, rep: untold})
 }
 
 // answer takes a switch's answer to a set-up.
@@ -100,24 +122,38 @@
 	if err != nil || k == nil || m.Provisional() { // progress means nothing; an unknown id is none of ours
 		return
 	}
-	ack := sip.Message{Method: sip.Ack, URI: k.uri, CallID: k.callID, CSeq: m.CSeq}
-	if k.state != Trying || k.link != c || m.CSeq != k.seq {
-		a.lateAnswer(k, f, c, m, ack)
+	t := k.tryWith(f.entry.ID, m.CSeq)
+	if t == nil {
+		a.ignoreAnswer(k, f, c, m)
 		return
 	}
-	rep := readLoad(m)
-	a.out.Write(c, &ack)
-	a.offLink(k)
-	if m.Refusal() {
-		end, why, wait := readRefusal(m)
-		a.tries.Refused++
-		a.recordTry(k, "refused with "+strconv.Itoa(m.Status))
-		a.become(k, Offered)
-		a.later = append(a.later, report{handle: k.handle, try: k.tries - 1, sw: k.far, end: end, why: why, wait: wait, rep: rep})
-		return
+	a.out.Write(c, &sip.Message{Method: sip.Ack, URI: k.uri, CallID: k.callID, CSeq: m.CSeq})
+	switch {
+	case t.state != tryOut || t.conn != c:
+		a.lateAnswer(t, f, c, m)
+	case m.Refusal():
+		a.refused(t, m)
+	default:
+		a.stands(t, m)
 	}
+}
+
+// refused takes the refusal of the try that is out.
+func (a *Agent) refused(t *routeTry, m *sip.Message) {
+	end, why, wait := readRefusal(m)
+	a.tries.Refused++
+	a.advance(t, eventRefuse, strconv.Itoa(m.Status))
+	a.become(t.call, Offered)
+	a.later = append(a.later, report{handle: t.call.handle, try: t.number, sw: t.sw, end: end, why: why, wait: wait, rep: readLoad(m)})
+}
+
+// stands passes on that a call stands by the try that is out.
+func (a *Agent) stands(t *routeTry, m *sip.Message) {
+	k, rep := t.call, readLoad(m)
+	a.advance(t, eventAnswer, "answered")
 	if a.out.Left(k.caller, k.callID) { // nobody would hear that the call stands, nor that it is over
-		a.out.Write(c, a.bye(k.callID, k.uri, causeNormal))
+		a.out.Write(t.conn, a.bye(k.callID, k.uri, causeNormal))
+		a.advance(t, eventRelease, "its caller has left")
 		a.leftAsItStood(k)
 		return
 	}
@@ -125,29 +161,33 @@
 	a.become(k, Standing)
 	a.tally.Stood++
 	a.tries.Stood++
-	a.recordTry(k, "answered")
-	a.decide.Stands(a.now, k.handle, k.tries-1)
+	a.decide.Stands(a.now, k.handle, t.number)
 	if rep.Size >= 0 {
-		a.decide.Circuits(a.now, k.far, rep)
+		a.decide.Circuits(a.now, t.sw, rep)
 	}
 }
 
-// lateAnswer takes an answer for which nobody waits. A set-up that was given up and stands all the same is released; the
-// second copy of an answer is passed over, and so is what comes for an earlier try while a later one is at that switch,
-// since a release names the call and would cut that one.
-func (a *Agent) lateAnswer(k *call, f *farEnd, c Conn, m *sip.Message, ack sip.Message) {
-	if k.tries == 0 || m.CSeq > k.seq {
-		return
-	}
+// lateAnswer takes an answer to a try that is not out on that connection. A try that was given up and stands all the same is released, and the
+// release time runs from now, since until then it was out.
+func (a *Agent) lateAnswer(t *routeTry, f *farEnd, c Conn, m *sip.Message) {
+	k := t.call
 	a.tries.AnsweredLate++
-	a.out.Record(Record{Kind: AnswerIgnored, CallID: k.callID, Conn: c, Switch: f.entry.ID, Try: int(m.CSeq), To: k.state,
-		Why: fmt.Sprintf("status %d, try %d is the last", m.Status, k.tries)})
-	a.out.Write(c, &ack)
-	if m.Refusal() || k.far == f.entry.ID && (k.state == Standing || k.state == Trying) {
+	a.ignoreAnswer(k, f, c, m)
+	if m.Refusal() {
+		if t.state == tryAbandoned {
+			a.advance(t, eventRefuse, strconv.Itoa(m.Status))
+		}
 		return
 	}
-	if k.state == Over && k.stoodAt != 0 && k.seq == m.CSeq {
+	if t.state == tryOut || t.state == tryStanding || !a.advance(t, eventAnswer, "after it was given up") {
 		return
 	}
-	a.out.Write(c, a.bye(k.callID, k.uri, causeNormal))
+	k.heldUntil = max(k.heldUntil, a.now+a.set.Module.ReleaseTime)
+	a.releaseTryLeft(k)
+}
+
+// ignoreAnswer logs an answer for which nobody waits.
+func (a *Agent) ignoreAnswer(k *call, f *farEnd, c Conn, m *sip.Message) {
+	a.out.Record(Record{Kind: AnswerIgnored, CallID: k.callID, Conn: c, Switch: f.entry.ID, Try: int(m.CSeq), To: k.state,
+		Why: fmt.Sprintf("status %d, %d tries so far", m.Status, len(k.tries))})
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -248,6 +248,7 @@
 			t.Error("the connection was kept")
 		}
 		next := <-b.sw
+		next.Want(sip.Bye)         // of what the set-up may have left there
 		m := next.Want(sip.Invite) // after the release time
 		next.Say(m.Answer(sip.BusyHere))
 		next.Want(sip.Ack)
