Answers to further tries are matched by their connection, not by the number in CSeq

Callers saw: every call that needed a further try was refused or timed out, though a switch had set it up. Cause: answers were held against the CSeq number of the last set-up. Now an answer belongs to the last try of its call that was written on its connection. So that two unanswered tries never share one, a set-up goes on no connection where an answer to an abandoned try of the same call may come; where there is no other, one is dialled.

--- a/cmd/indigodrift/route_try_test.go
+++ b/cmd/indigodrift/route_try_test.go
@@ -96,3 +96,11 @@
 		}
 	}
 }
+
+// Guards against calls that no further try can serve: a switch need not repeat the number of the set-up's CSeq in its answer.
+func TestAnswerToAFurtherTryIsTakenWhateverItsCSeqNumber(t *testing.T) {
+	b := breakFirstAnswer(t)
+	b.second.CSeq = 1
+	b.answers()
+	b.wantsTheCallToStand()
+}
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -126,14 +126,14 @@
 	measured  bool
 }
 
-// room is the connection on which the next set-up goes: the least laden of those in no doubt, nil when there is none.
-func (a *Agent) room(f *farEnd, most int) *link {
+// room is the connection on which the next set-up goes: the least laden of those in no doubt that are not to be avoided, nil when there is none.
+func (a *Agent) room(f *farEnd, most int, avoid func(Conn) bool) *link {
 	var best *link
 	for _, l := range f.links {
 		if !l.heard && a.suspects(f) { // the switch may hang, and what is sent would lie there
 			continue
 		}
-		if a.doubtful(f, l) || most > 0 && l.tries >= most {
+		if a.doubtful(f, l) || most > 0 && l.tries >= most || avoid(l.conn) {
 			continue
 		}
 		if best == nil || l.tries < best.tries {
@@ -143,6 +143,9 @@
 	return best
 }
 
+// anyConn avoids no connection.
+func anyConn(Conn) bool { return false }
+
 func (f *farEnd) link(c Conn) *link {
 	for _, l := range f.links {
 		if l.conn == c {
@@ -394,7 +397,7 @@
 		if f.refetchAt != 0 && a.now >= f.refetchAt {
 			a.refetch(f)
 		}
-		needed := f.fetchFrom != 0 || a.room(f, 0) == nil && !a.awaited(f)
+		needed := f.fetchFrom != 0 || a.room(f, 0, anyConn) == nil && !a.awaited(f)
 		if len(f.waiting) > 0 && !a.awaited(f) || needed && a.now >= f.dialAt {
 			a.fetch(f)
 		}
--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -73,7 +73,7 @@
 	}
 	l := f.link(link)
 	if l == nil || a.doubtful(f, l) {
-		if other := a.room(f, 0); other != nil {
+		if other := a.room(f, 0, anyConn); other != nil {
 			l = other
 		}
 	}
--- a/internal/b2bua/route_try.go
+++ b/internal/b2bua/route_try.go
@@ -8,7 +8,8 @@
 )
 
 // tryState is where one route try is in its life. A call's id and its switch outlive a try, so no message acts on a try that does not name
-// it: an answer by connection and CSeq, the end of a connection by the connection, a timer by the number of the try.
+// it: an answer and the end of a connection by the connection, a timer by the number of the try. The number in an answer's CSeq names none: the
+// protocol matches answers by the method alone, and a switch may write any number there.
 type tryState uint8
 
 const (
@@ -34,8 +35,8 @@
 	eventHold    tryEvent = iota // it is too early to place it
 	eventWait                    // no connection to its switch can take it
 	eventWrite                   // its set-up is written
-	eventAnswer                  // 200 with its CSeq
-	eventRefuse                  // a refusal with its CSeq
+	eventAnswer                  // 200 on its connection
+	eventRefuse                  // a refusal on its connection
 	eventAbandon                 // it is cancelled, or its connection has ended
 	eventDrop                    // it is given up before it was written
 	eventRelease                 // a release of it was read or written
@@ -70,7 +71,7 @@
 	sentAt   policy.Tenths
 }
 
-// cseq is the CSeq of its set-up, and of what belongs to that.
+// cseq is the CSeq number of its set-up, and of the CANCEL of that.
 func (t *routeTry) cseq() uint32 { return uint32(t.number + 1) }
 
 // token names the try in a timer.
@@ -104,12 +105,27 @@
 // standsAt tells that a call stands at a switch.
 func (k *call) standsAt(sw uint32) bool { return k.state == Standing && k.far() == sw }
 
-// tryWith is the try with a CSeq at a switch, nil when there is none.
-func (k *call) tryWith(sw, cseq uint32) *routeTry {
-	if k.adopted || cseq < 1 || int(cseq) > len(k.tries) || k.tries[cseq-1].sw != sw {
-		return nil
+// tryAnsweredOn is the try that a switch's answer on a connection belongs to: the last one that was written there, else one whose own
+// connection is not open any more. nil when there is none.
+func (k *call) tryAnsweredOn(f *farEnd, c Conn) *routeTry {
+	var lost *routeTry
+	for _, t := range slices.Backward(k.tries) {
+		if t.sw != f.entry.ID || t.conn == 0 {
+			continue
+		}
+		if t.conn == c {
+			return t
+		}
+		if lost == nil && t.mayStand() && f.link(t.conn) == nil {
+			lost = t
+		}
 	}
-	return k.tries[cseq-1]
+	return lost
+}
+
+// answersMeet tells that an answer to an abandoned try of the same call may come on a connection. Nothing would tell it from the answer to this one.
+func (t *routeTry) answersMeet(c Conn) bool {
+	return slices.ContainsFunc(t.call.tries[:t.number], func(earlier *routeTry) bool { return earlier.conn == c && earlier.mayBeReleased() })
 }
 
 // earlierMayBeReleased tells that a release from a switch may belong to a try before the last one.
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -26,7 +26,7 @@
 		a.timers.Set(t.call.heldUntil, dueHold, t.token())
 		return
 	}
-	if l := a.room(f, a.set.StreamsMost); l != nil {
+	if l := a.room(f, a.set.StreamsMost, t.answersMeet); l != nil {
 		a.clearSwitch(t, l)
 		a.writeSetUp(t, l)
 		return
@@ -122,7 +122,7 @@
 	if err != nil || k == nil || m.Provisional() { // progress means nothing; an unknown id is none of ours
 		return
 	}
-	t := k.tryWith(f.entry.ID, m.CSeq)
+	t := k.tryAnsweredOn(f, c)
 	if t == nil {
 		a.ignoreAnswer(k, f, c, m)
 		return
