--- a/cmd/indigodrift/soak.go
+++ b/cmd/indigodrift/soak.go
@@ -21,13 +21,17 @@
 	c.Flags().IntVar(&o.Parallel, "parallel", 2, "runs side by side")
 	c.Flags().DurationVar(&o.Length, "length", 12*time.Second, "time with calls and faults in each run")
 	c.Flags().StringVar(&o.Folder, "keep", "", "folder for events and logs of the controllers")
+	c.Flags().StringVar(&o.Program, "program", "", "another build of the program to run the controllers with")
+	c.Flags().StringVar(&o.Only, "only", "", "the one unusual way in which set-ups end, and no faults: full, error, moot, broke, released, dropped, reset-unread, spoilt, cut, short, never, late, reset-read, twice, ahead")
 	c.Flags().StringVar(&o.Plant, "plant", "", "a fault the controllers have on purpose: release, answer, early")
 	c.RunE = func(*cobra.Command, []string) error {
-		program, err := os.Executable()
-		if err != nil {
-			return fmt.Errorf("own program: %w", err)
+		if o.Program == "" {
+			own, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("own program: %w", err)
+			}
+			o.Program = own
 		}
-		o.Program = program
 		ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer cancel()
 		results, err := soak.Run(ctx, o)
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -24,6 +24,8 @@
 // Shape is how a proxy passes octets while it works. The zero value passes them as they come.
 type Shape struct {
 	ConnectMost time.Duration // a connection is passed on after a random wait up to this
+	Way         time.Duration // octets take this long each way, in their order
+	Jitter      time.Duration // and up to so much longer
 	PieceMost   int           // octets are passed in pieces of at most so many, 0: as they come
 	PieceWait   time.Duration // between two pieces, at most
 	PieceAll    time.Duration // and for the pieces of what was read at once all together, so that a flood is not held up
@@ -118,6 +120,15 @@
 // ResetOne resets one of the connections that are open now, and returns the address from which its target sees it, "" where there is none.
 func (p *Proxy) ResetOne() string { return p.one((*Link).reset) }
 
+// EndOne ends the direction to the near side of one of the connections that are open now; the other goes on until the near side closes it.
+func (p *Proxy) EndOne() {
+	p.one(func(l *Link) {
+		if half, ok := l.near.(*net.TCPConn); ok {
+			_ = half.CloseWrite() // it may be gone already
+		}
+	})
+}
+
 // SilenceOne silences one of the connections that are open now, and returns the address from which its target sees it.
 func (p *Proxy) SilenceOne() string { return p.one(func(l *Link) { l.silent.Store(true) }) }
 
@@ -242,12 +253,13 @@
 	}
 	var both sync.WaitGroup
 	both.Go(func() {
-		p.copy(l, near, far)
-		if p.Ended != nil {
-			p.Ended(far.LocalAddr().String())
-		}
+		p.copy(l, p.delayed(near, func() {
+			if p.Ended != nil {
+				p.Ended(far.LocalAddr().String())
+			}
+		}), far)
 	})
-	both.Go(func() { p.copy(l, far, near) })
+	both.Go(func() { p.copy(l, p.delayed(far, func() {}), near) })
 	both.Wait()
 	l.close()
 }
@@ -271,9 +283,77 @@
 	return closed || err != nil
 }
 
+// waysMost reads of a connection are under way at a time; then the far end waits.
+const waysMost = 256
+
+// parcel is what one read gave, and when it is due at the other side.
+type parcel struct {
+	due    time.Time
+	octets []byte
+	err    error
+}
+
+// delayLine is a connection whose octets, and its end, are read later than they came.
+type delayLine struct {
+	parcels chan parcel
+	rest    []byte
+}
+
+// delayed reads a connection by the way of the proxy's shape; ended is called as its end is read, before the way.
+func (p *Proxy) delayed(from io.Reader, ended func()) io.Reader {
+	line := &delayLine{parcels: make(chan parcel, waysMost)}
+	p.all.Go(func() {
+		defer close(line.parcels)
+		var last time.Time
+		for {
+			buf := make([]byte, readMost)
+			n, err := from.Read(buf)
+			if err != nil {
+				ended()
+			}
+			due := time.Now().Add(p.shape.Way + p.drawn(p.shape.Jitter))
+			if due.Before(last) {
+				due = last
+			}
+			last = due
+			line.parcels <- parcel{due, buf[:n], err}
+			if err != nil {
+				return
+			}
+		}
+	})
+	return line
+}
+
+// Read waits for what is due next.
+func (d *delayLine) Read(b []byte) (int, error) {
+	if len(d.rest) == 0 {
+		next, ok := <-d.parcels
+		if !ok {
+			return 0, io.EOF
+		}
+		time.Sleep(time.Until(next.due))
+		if d.rest = next.octets; next.err != nil {
+			return copy(b, next.octets), next.err
+		}
+	}
+	n := copy(b, d.rest)
+	d.rest = d.rest[n:]
+	return n, nil
+}
+
+// drain reads a line to its end, so that what fills it does not wait for good.
+func drain(from io.Reader) {
+	if d, ok := from.(*delayLine); ok {
+		for range d.parcels { //nolint:revive // only the end matters
+		}
+	}
+}
+
 // copy passes octets one way. At their end the other side's end is passed on as well, a reset as a reset; on a silent connection
 // nothing is, and it stays open for the side that has not closed it.
-func (p *Proxy) copy(l *Link, from, to net.Conn) {
+func (p *Proxy) copy(l *Link, from io.Reader, to net.Conn) {
+	defer drain(from)
 	buf := make([]byte, readMost)
 	for {
 		n, err := from.Read(buf)
--- a/internal/soak/board.go
+++ b/internal/soak/board.go
@@ -25,6 +25,7 @@
 type Board struct {
 	log        *Log
 	controller int
+	twice      bool // events are written twice
 
 	mu     sync.Mutex
 	events []board.Event
@@ -42,8 +43,8 @@
 	ended chan struct{}
 }
 
-func newBoard(log *Log, controller int) *Board {
-	return &Board{log: log, controller: controller, conns: map[*boardConn]struct{}{}}
+func newBoard(log *Log, controller int, twice bool) *Board {
+	return &Board{log: log, controller: controller, twice: twice, conns: map[*boardConn]struct{}{}}
 }
 
 // listen takes connections at an address, and at none that it had before.
@@ -118,7 +119,7 @@
 			continue
 		}
 		frame, err := board.AppendFrame(nil, e)
-		if err != nil || !c.write(frame) {
+		if err != nil || !c.write(frame) || b.twice && !c.write(frame) {
 			return
 		}
 		c.told = e.Number
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -17,7 +17,10 @@
 	crossWithin = 50 * time.Millisecond
 	dialWithin  = 500 * time.Millisecond
 	answerLater = 900 * time.Millisecond // how late AnswerLate is, at most
+	noneFreeFor = 200 * time.Millisecond // after a planned end has begun to show, a new connection is made where none is open
 	standMost   = 4096                   // calls that a group remembers
+	briefLeast  = 5 * time.Millisecond   // what calls with little time left have
+	briefMost   = 250 * time.Millisecond
 )
 
 // admission is what the front allows callers towards a controller.
@@ -37,15 +40,16 @@
 	controller int
 	address    string
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	admit   admission
-	open    []*callerLink
-	calls   map[string]*placedCall
-	number  int
-	paused  bool // callers call no more
-	stopped chan struct{}
-	all     sync.WaitGroup
+	mu       sync.Mutex
+	random   *rand.Rand
+	admit    admission
+	openFrom time.Duration // since when it is so
+	open     []*callerLink
+	calls    map[string]*placedCall
+	number   int
+	paused   bool // callers call no more
+	stopped  chan struct{}
+	all      sync.WaitGroup
 }
 
 // callerLink is a connection of a caller.
@@ -73,6 +77,7 @@
 	over     bool
 	givenUp  bool
 	at       uint32 // the switch where it stands
+	transit  int    // its destination from 1, where it is in transit
 }
 
 func newCallers(log *Log, plan Plan, controller int, address string) *Callers {
@@ -104,7 +109,7 @@
 // allow says what the front allows from now on. With admitAll, after a start, callers come at once and tell of the calls that stand.
 func (g *Callers) allow(a admission) {
 	g.mu.Lock()
-	g.admit = a
+	g.admit, g.openFrom = a, g.log.Now()
 	var standing []*placedCall
 	if a == admitAll {
 		for _, k := range g.calls {
@@ -142,7 +147,7 @@
 		g.mu.Unlock()
 		return l
 	}
-	if g.admit != admitAll {
+	if g.admit == admitNone || g.admit == admitOpen && g.log.Now()-g.openFrom > noneFreeFor {
 		g.mu.Unlock()
 		return nil
 	}
@@ -169,10 +174,14 @@
 	return err == nil
 }
 
+// className is the class that every plan has.
 const className = "voice"
 
 // call places one call.
-func (g *Callers) call() {
+func (g *Callers) call() { g.place(false, "") }
+
+// place places one call; it may repeat one that was refused, and more may mark it.
+func (g *Callers) place(repeats bool, more string) {
 	l := g.connection()
 	if l == nil {
 		return
@@ -182,12 +191,25 @@
 	id := fmt.Sprintf("%04x%04x%08x", g.plan.Seed&0xffff, g.controller, g.number)
 	cell := (g.controller + 1 + g.random.IntN(g.plan.Controllers-1)) % g.plan.Controllers
 	expires := upTo(g.random, g.plan.Deadline/3, g.plan.Deadline)
+	if g.random.Float64() < g.own.Brief {
+		expires = upTo(g.random, briefLeast, briefMost)
+	}
+	class := g.plan.Classes[g.random.IntN(len(g.plan.Classes))].Name
+	transit := 0
+	if g.random.Float64() < g.own.Transit {
+		transit = cell + 1
+		more += ";transit:1"
+	}
+	via := []int{-1, (cell + 1) % g.plan.Controllers}[g.random.IntN(2)]
 	impatient := g.random.Float64() < g.own.Impatient
 	patience := upTo(g.random, 0, expires)
 	m := sip.Message{Method: sip.Invite, URI: "sip:7f3a9c21e0b4d655@net", CallID: id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("offer of " + id),
-		Fields: []sip.Field{{Name: "Priority-Class", Value: className}, {Name: "Expires-Ms", Value: strconv.Itoa(int(expires.Milliseconds()))},
-			{Name: "P-Trunk-Info", Value: fmt.Sprintf("dest:%d;width:1;via:-1", cell)}}}
-	k := &placedCall{id: id, link: l, message: m}
+		Fields: []sip.Field{{Name: "Priority-Class", Value: class}, {Name: "Expires-Ms", Value: strconv.Itoa(int(expires.Milliseconds()))},
+			{Name: "P-Trunk-Info", Value: fmt.Sprintf("dest:%d;width:1;via:%d%s", cell, via, more)}}}
+	if repeats {
+		m.Fields = append(m.Fields, sip.Field{Name: "P-Repeat", Value: "1"})
+	}
+	k := &placedCall{id: id, link: l, message: m, transit: transit}
 	g.forgetOld()
 	g.calls[id] = k
 	g.mu.Unlock()
@@ -226,7 +248,7 @@
 		text = "again"
 	}
 	g.mu.Unlock()
-	g.log.Add(Event{Kind: CallSent, Controller: g.controller, Call: k.id, Conn: l.conn, Span: expires, Text: text})
+	g.log.Add(Event{Kind: CallSent, Controller: g.controller, Call: k.id, Conn: l.conn, Cell: k.transit, Span: expires, Text: text})
 	g.write(l, &k.message)
 }
 
@@ -303,7 +325,7 @@
 		})
 	}
 	if repeat {
-		g.all.Go(g.call)
+		g.all.Go(func() { g.place(true, "") })
 	}
 }
 
@@ -331,7 +353,11 @@
 		k.over = true
 	}
 	later := upTo(g.random, answerLater/3, answerLater)
+	comes := k != nil && !g.paused && cutOff(m) && g.random.Float64() < g.own.Again
 	g.mu.Unlock()
+	if comes {
+		g.all.Go(func() { g.place(false, ";again:1") })
+	}
 	heard := m.Answer(sip.OK)
 	switch {
 	case l.answer == AnswerAtOnce && k != nil:
@@ -341,6 +367,11 @@
 	}
 }
 
+// cutOff tells that a release is no end of a call in the ordinary way.
+func cutOff(m *sip.Message) bool {
+	return m.Get("Reason") != fmt.Sprintf("Q.850;cause=%d", causeNormal)
+}
+
 // closed handles the end of a connection. A set-up that crossed it goes again on a new one, once.
 func (g *Callers) closed(l *callerLink, err error) {
 	l.c.Close()
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -102,12 +102,16 @@
 )
 
 func (c *Controller) settings() json.RawMessage {
-	return json.RawMessage(fmt.Sprintf(`{"replicas_of_me":%d,"family_info":{"self_no":%d,"shape":"mesh","release_guard":%d,"holding":[%d]},
-"grades":[{"name":%q,"aim":%d,"deadline":%d,"worth":1}],
+	var grades, holdings []string
+	for _, class := range c.plan.Classes {
+		grades = append(grades, fmt.Sprintf(`{"name":%q,"aim":%d,"deadline":%d,"worth":%g,"late_worth":0.3}`, class.Name, class.Aim.Milliseconds(), c.plan.Deadline.Milliseconds(), class.Worth))
+		holdings = append(holdings, strconv.Itoa(int((c.plan.Switches.HoldMax / 2).Milliseconds())))
+	}
+	return json.RawMessage(fmt.Sprintf(`{"replicas_of_me":%d,"family_info":{"self_no":%d,"shape":"mesh","release_guard":%d,"holding":[%s]},
+"grades":[%s],
 "policy_limits":{"cancel":true,"dial_timeout":500,"max_attempts":4,"retry_after":true,"max_retry_after":2000},
 "rules":{"cold_from":%g,"ramp_time":%d,"stop_sending_within":%d,"tip_after":%d,"tip_multiple":%g}}`,
-		c.plan.Controllers, c.number, releaseGuard.Milliseconds(), (c.plan.Switches.HoldMax / 2).Milliseconds(), className, (c.plan.Deadline / 3).Milliseconds(),
-		c.plan.Deadline.Milliseconds(), coldFrom, rampTime.Milliseconds(), drainGrace.Milliseconds(), tipAfter.Milliseconds(), tipMultiple))
+		c.plan.Controllers, c.number, releaseGuard.Milliseconds(), strings.Join(holdings, ","), strings.Join(grades, ","), coldFrom, rampTime.Milliseconds(), drainGrace.Milliseconds(), tipAfter.Milliseconds(), tipMultiple))
 }
 
 // configure writes the configuration as it is now.
@@ -258,6 +262,15 @@
 	_ = c.cmd.Process.Signal(s) // it may have ended
 }
 
+// again sends one more signal to a controller whose end was asked for already.
+func (c *Controller) again(s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.signaled {
+		_ = c.cmd.Process.Signal(s) // it may have ended
+	}
+}
+
 // killFrom is how long after SIGTERM SIGKILL comes.
 func (c *Controller) killFrom() time.Duration { return min(c.plan.Deadline, killTop) + killAfter }
 
--- a/internal/soak/intruder.go
+++ b/internal/soak/intruder.go
@@ -10,7 +10,11 @@
 	"indigodrift/internal/sip"
 )
 
-const servedWithin = 3 * time.Second // what a bad client is owed within
+const (
+	servedWithin = 3 * time.Second // what a bad client is owed within
+	badPrefix    = "bad"           // of their ids
+	takenBack    = 200             // set-ups that one of them sends and takes back at once
+)
 
 // intrusions are what bad clients send. Each is owed a refusal or a close; never an answer that it stands.
 var intrusions = []struct {
@@ -45,6 +49,32 @@
 		m := badSetUp("")
 		return sip.Append(nil, &m)
 	}},
+	{"a figure out of range", func(id string) []byte {
+		m := badSetUp(id)
+		m.Fields[2].Value = "dest:70000;width:-3;via:99999999999"
+		return sip.Append(nil, &m)
+	}},
+	{"two set-ups under one id", func(id string) []byte {
+		m := badSetUp(id)
+		m.Fields[0].Value = "no such class"
+		return sip.Append(sip.Append(nil, &m), &m)
+	}},
+	{"a release of a call that nobody knows", func(id string) []byte {
+		m := badSetUp(id)
+		m.Method, m.CSeqMethod = sip.Bye, sip.Bye
+		return sip.Append(nil, &m)
+	}},
+	{"set-ups with no class taken back at once", func(id string) []byte {
+		var all []byte
+		for i := range takenBack {
+			m := badSetUp(fmt.Sprintf("%s%04x", id[:12], i))
+			m.Fields[0].Value = "no such class"
+			all = sip.Append(all, &m)
+			m.Method, m.CSeqMethod = sip.Cancel, sip.Cancel
+			all = sip.Append(all, &m)
+		}
+		return all
+	}},
 }
 
 func badSetUp(id string) sip.Message {
@@ -55,7 +85,7 @@
 // intrude has one bad client connect, send and wait for what it is owed.
 func intrude(log *Log, controller int, address string, r *rand.Rand) {
 	what := intrusions[r.IntN(len(intrusions))]
-	id := fmt.Sprintf("bad%05x%08x", controller, r.Uint32())
+	id := fmt.Sprintf(badPrefix+"%05x%08x", controller, r.Uint32())
 	c, err := net.DialTimeout("tcp", address, dialWithin)
 	if err != nil {
 		return
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -25,7 +25,8 @@
 	RuleReleaseTime Rule = "the release time is awaited"
 	RuleTold        Rule = "the caller of a call that is over is told within 1 s of its release"
 	RuleToldLost    Rule = "the caller of a call that is over is told within 8 s"
-	RuleNoCaller    Rule = "no set-up that no caller sent, none to the own exchange"
+	RuleNoCaller    Rule = "no set-up that no caller sent, none to the own exchange, in transit to its destination alone"
+	RuleBothSides   Rule = "what is over for its caller is over at its switch"
 	RuleBadClient   Rule = "a bad client has a refusal or a close within 3 s"
 	RuleCrash       Rule = "no controller ends by itself"
 	RuleReady       Rule = "a controller is ready within 10 s"
@@ -35,6 +36,7 @@
 const (
 	slack       = 50 * time.Millisecond // by which every time limit grows
 	passMost    = 50 * time.Millisecond // the way through proxies and pieces
+	rigMost     = 10 * time.Millisecond // between what a peer of a controller does and what it notes
 	lateMost    = 500 * time.Millisecond
 	toldWithin  = time.Second
 	toldLost    = 8 * time.Second
@@ -74,6 +76,8 @@
 	calls    map[string]*callView
 	order    []string
 	lostAt   map[int]time.Duration // connections to switches, and callers' connections that are silenced
+	silent   map[int]bool          // of these, those whose end neither side can see
+	cellOf   map[uint32]int        // by switch
 	shutAt   map[int]time.Duration // connections to switches that their controller has closed
 	opened   map[int]time.Duration // callers' connections
 	closed   map[int]time.Duration
@@ -90,7 +94,7 @@
 
 // Judge judges a run from what callers, switches, the board and the rig saw.
 func Judge(plan Plan, events []Event) []Breach {
-	j := &judge{plan: plan, events: events, calls: map[string]*callView{}, lostAt: map[int]time.Duration{}, shutAt: map[int]time.Duration{}, opened: map[int]time.Duration{},
+	j := &judge{plan: plan, events: events, calls: map[string]*callView{}, lostAt: map[int]time.Duration{}, silent: map[int]bool{}, cellOf: map[uint32]int{}, shutAt: map[int]time.Duration{}, opened: map[int]time.Duration{},
 		closed: map[int]time.Duration{}, whose: map[int]int{}, lives: make([][]span, plan.Controllers)}
 	if len(events) > 0 {
 		j.end = events[len(events)-1].At
@@ -101,6 +105,7 @@
 		j.answered(k)
 		j.tries(k)
 		j.told(k)
+		j.bothSides(k)
 	}
 	j.drains()
 	j.cold()
@@ -123,8 +128,10 @@
 		switch e.Kind {
 		case LinkLost, CallerSilenced:
 			if _, before := j.lostAt[e.Conn]; !before {
-				j.lostAt[e.Conn] = e.At
+				j.lostAt[e.Conn], j.silent[e.Conn] = e.At, e.Kind == CallerSilenced || e.Text == lostSilent || e.Text == lostVanished
 			}
+		case ListChanged:
+			j.cellOf[e.Switch] = e.Cell
 		case LinkClosed:
 			j.shutAt[e.Conn] = e.At
 		case CallerOpened:
@@ -267,7 +274,7 @@
 // servedTrue judges that what stands has the description that a switch gave for this call.
 func (j *judge) servedTrue(k *callView, answer Event) {
 	for _, e := range k.events {
-		if e.Kind == TryEnded && e.Status == sip.OK && AnswerBody(e.Switch, k.id) == answer.Text {
+		if e.Kind == TryEnded && e.Status == sip.OK && AnswerBody(e.Switch, k.id, e.Number) == answer.Text {
 			return
 		}
 	}
@@ -312,12 +319,15 @@
 	ended   time.Duration // never where it did not end
 	end     Kind
 	status  int
-	lost    bool // its connection was silenced: the switch cannot know of its end
+	lost    bool // its connection is silent: the switch cannot know of its end
 	delayed bool // it may have lain unread
 }
 
 // tries judges the tries of a call.
 func (j *judge) tries(k *callView) {
+	if strings.HasPrefix(k.id, badPrefix) { // a bad client's, which may be passed on where it can be read
+		return
+	}
 	var all []*try
 	for _, e := range k.events {
 		switch e.Kind {
@@ -325,7 +335,7 @@
 			all = append(all, &try{arrived: e, ended: never, delayed: e.Span > 0})
 		case TryEnded, TryGivenUp:
 			for _, t := range all {
-				if t.arrived.Conn == e.Conn && t.arrived.Switch == e.Switch && t.ended == never {
+				if t.arrived.Conn == e.Conn && t.arrived.Switch == e.Switch && t.arrived.Number == e.Number && t.ended == never {
 					t.ended, t.end, t.status = e.At, e.Kind, e.Status
 					break
 				}
@@ -335,7 +345,7 @@
 	sent, placed := k.first(CallSent)
 	for i, t := range all {
 		if lost, ok := j.lostAt[t.arrived.Conn]; ok && lost <= t.ended {
-			t.lost, t.ended, t.end = true, lost, TryGivenUp
+			t.lost, t.ended, t.end = j.silent[t.arrived.Conn], lost, TryGivenUp
 		}
 		if shut, ok := j.shutAt[t.arrived.Conn]; ok && shut < t.ended { // a close gives up what is open, though the switch may see it late
 			t.ended, t.end = shut, TryGivenUp
@@ -344,6 +354,9 @@
 		if !placed || sent.At > t.arrived.At || t.arrived.Text != "offer of "+k.id || own {
 			j.breach(RuleNoCaller, k, k.controller, "a set-up at %s that no caller sent, with %q", board.Text(t.arrived.Switch), t.arrived.Text)
 		}
+		if sent.Cell > 0 && j.cellOf[t.arrived.Switch] != sent.Cell-1 {
+			j.breach(RuleNoCaller, k, k.controller, "a call in transit to cell %d at %s", sent.Cell-1, board.Text(t.arrived.Switch))
+		}
 		if i > 0 && !t.delayed && !all[i-1].delayed {
 			j.follows(k, all[i-1], t)
 		}
@@ -358,9 +371,32 @@
 			board.Text(before.arrived.Switch), before.arrived.At.Seconds())
 		return
 	}
-	if before.end == TryGivenUp && !before.lost && t.arrived.At-before.ended < releaseGuard-room {
-		j.breach(RuleReleaseTime, k, k.controller, "sent again %v after the try was given up", (t.arrived.At - before.ended).Round(time.Millisecond))
+	if room := j.releaseRoom(before, t); before.mustRest() && t.arrived.At-before.ended < releaseGuard-room {
+		j.breach(RuleReleaseTime, k, k.controller, "sent again %v after the end of the try (%s, status %d)", (t.arrived.At - before.ended).Round(time.Millisecond), before.end, before.status)
+	}
+}
+
+// mustRest tells that a further try has to wait out the release time: all but a refusal that came whole is a time-out, a reset or a cancel. An answer
+// counts as well, since who sends again after it has not taken it.
+func (t *try) mustRest() bool {
+	switch t.status {
+	case sip.ServiceUnavail, sip.Unavailable, sip.BusyHere, sip.ServerError:
+		return t.end != TryEnded
+	}
+	return !t.lost
+}
+
+// releaseRoom is by how much the release time may look shorter at the switches than it was at the controller: a CANCEL may have a longer way
+// than the set-up after it.
+func (j *judge) releaseRoom(before, t *try) time.Duration {
+	room := slack + rigMost + j.plan.Jitter + j.late(before.arrived.At, t.arrived.At)
+	if before.arrived.Switch != t.arrived.Switch {
+		room += wayMost
+	}
+	if j.plan.PieceMost > 0 {
+		room += pieceAll
 	}
+	return room
 }
 
 func keys[K comparable, V any](m map[K]V) func(func(K) bool) {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -25,7 +25,7 @@
 		{At: 105 * ms, Kind: TryArrived, Call: callID, Switch: swID, Conn: 2, Text: "offer of " + callID},
 		{At: 120 * ms, Kind: TryEnded, Call: callID, Switch: swID, Conn: 2, Status: sip.OK},
 		{At: 120 * ms, Kind: CallStood, Call: callID, Switch: swID, Conn: 2},
-		{At: 125 * ms, Kind: CallAnswered, Call: callID, Conn: 1, Status: sip.OK, Text: AnswerBody(swID, callID)},
+		{At: 125 * ms, Kind: CallAnswered, Call: callID, Conn: 1, Status: sip.OK, Text: AnswerBody(swID, callID, 0)},
 		{At: 2000 * ms, Kind: CallOver, Call: callID, Switch: swID, Text: "cause 16"},
 		{At: 2000 * ms, Kind: ReleaseWritten, Call: callID, Switch: swID, Conn: 2},
 		{At: 2010 * ms, Kind: CallToldOver, Call: callID, Conn: 1},
@@ -35,6 +35,18 @@
 	}
 }
 
+// ended is the history of a call whose set-up ends with a status.
+func ended(status int) []Event {
+	events := without(without(history(), CallStood), CallAnswered)
+	for i := range events {
+		if events[i].Kind == TryEnded {
+			events[i].Status = status
+		}
+	}
+	return with(without(without(without(events, CallOver), ReleaseWritten), CallToldOver),
+		Event{At: 900 * ms, Kind: CallAnswered, Call: callID, Conn: 1, Status: sip.ServiceUnavail})
+}
+
 func without(events []Event, kind Kind) []Event {
 	var left []Event
 	for _, e := range events {
@@ -59,7 +71,7 @@
 
 // Each rule is found broken by what breaks it, and by nothing that the page allows.
 func TestJudgeNamesTheRuleThatIsBroken(t *testing.T) {
-	answer := Event{At: 130 * ms, Kind: CallAnswered, Call: callID, Conn: 1, Status: sip.OK, Text: AnswerBody(swID, callID)}
+	answer := Event{At: 130 * ms, Kind: CallAnswered, Call: callID, Conn: 1, Status: sip.OK, Text: AnswerBody(swID, callID, 0)}
 	again := Event{Kind: TryArrived, Call: callID, Switch: swID + 1, Conn: 3, Text: "offer of " + callID}
 	gave := Event{At: 110 * ms, Kind: TryGivenUp, Call: callID, Switch: swID, Conn: 2}
 	listed := []Event{{At: 50 * ms, Kind: ListChanged, Controller: -1, Switch: swID, Status: int(board.Draining), Number: 2}}
@@ -87,7 +99,17 @@
 			Event{At: 2006 * ms, Kind: ControllerEnded, Text: "signal: killed"}, Event{At: 2100 * ms, Kind: ControllerStarted}, Event{At: 2110 * ms, Kind: ControllerReady, Span: 10 * ms},
 			Event{At: 2120 * ms, Kind: CallAnnounced, Call: callID, Switch: swID, Conn: 1}), ""},
 		{"never told, and nobody was there", with(without(without(history(), CallToldOver), CallerClosed), Event{At: 1900 * ms, Kind: CallerClosed, Conn: 1}), ""},
-		{"two tries at once", with(history(), at(again, 110*ms+passMost)), ""},
+		{"tried again at once after a refusal", with(ended(sip.ServiceUnavail), at(again, 110*ms+passMost)), ""},
+		{"tried again at once after an answer", with(history(), at(again, 110*ms+passMost)), RuleReleaseTime},
+		{"tried again at once after a spoilt answer", with(ended(0), at(again, 110*ms+passMost)), RuleReleaseTime},
+		{"tried again at once after a reset", with(ended(sip.ServerTimeout), at(again, 110*ms+passMost)), RuleReleaseTime},
+		{"tried again at once after its connection was reset", with(without(ended(0), TryEnded), Event{At: 112 * ms, Kind: LinkLost, Conn: 2, Text: "reset"}, at(again, 110*ms+passMost)), RuleReleaseTime},
+		{"tried again after a connection fell silent", with(without(ended(0), TryEnded), Event{At: 106 * ms, Kind: LinkLost, Conn: 2, Text: lostSilent}, at(again, 400*ms)), ""},
+		{"cut by the controller, and its caller not told", with(without(without(without(history(), CallToldOver), ReleaseWritten), CallOver),
+			Event{At: 2000 * ms, Kind: CallOver, Call: callID, Switch: swID, Text: textReleased}), RuleTold},
+		{"told that it is over while it stands", without(without(history(), CallOver), ReleaseWritten), RuleBothSides},
+		{"ended by its caller and never released at its switch", with(without(without(without(history(), CallOver), ReleaseWritten), CallToldOver),
+			Event{At: 1500 * ms, Kind: CallReleased, Call: callID, Conn: 1}), RuleBothSides},
 		{"two tries at once for long", with(without(history(), TryEnded), at(again, 400*ms)), RuleOneTry},
 		{"tried again too early", with(history(), gave, at(again, 300*ms)), RuleReleaseTime},
 		{"tried again in time", with(history(), gave, at(again, 111*ms+releaseGuard)), ""},
--- a/internal/soak/judge_told.go
+++ b/internal/soak/judge_told.go
@@ -36,13 +36,13 @@
 		return
 	}
 	toldAt := never
-	stood := Event{} // the last time before the answer: what stood there earlier never stood for its caller
+	stood := Event{} // what its answer names: other runs never stood for its caller
 	for _, e := range k.events {
 		switch e.Kind {
 		case CallToldOver, CallReleased, CallGivenUp:
 			toldAt = min(toldAt, e.At)
 		case CallStood:
-			if AnswerBody(e.Switch, k.id) == answer.Text && (e.At <= answer.At || stood.Call == "") {
+			if AnswerBody(e.Switch, k.id, e.Number) == answer.Text {
 				stood = e
 			}
 		}
@@ -55,13 +55,19 @@
 	}
 	held := false // a release reached a life that was killed before it had to pass it on, and what that held is no duty any more
 	for _, e := range k.events {
-		if e.Switch == stood.Switch && e.At >= stood.At && e.Kind == ReleaseWritten {
+		if e.Switch != stood.Switch || e.Number != stood.Number {
+			continue
+		}
+		if e.Kind == CallOver && e.Text == textReleased { // the controller cut it, and must tell its caller as well
+			j.toldOfRelease(k, e, toldAt)
+		}
+		if e.Kind == ReleaseWritten {
 			held = held || j.killedWithin(k.controller, e.At, toldWithin+slack)
 			j.toldOfRelease(k, e, toldAt)
 		}
 	}
 	for _, e := range k.events {
-		if e.Switch == stood.Switch && e.At >= stood.At && e.Kind == CallOver && e.Text != "released by the controller" && !held {
+		if e.Switch == stood.Switch && e.Number == stood.Number && e.Kind == CallOver && e.Text != textReleased && !held {
 			j.toldOfEnd(k, e.At, known, toldAt)
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,12 +45,15 @@
 	ResetCallers                    // or are reset
 	Crowd                           // many connect, and many of them say nothing
 	BadClients                      // some send what cannot be read
+	EndLink                         // a connection is ended in the direction to the controller alone
+	Burst                           // callers place many calls at once
+	Signals                         // SIGHUP and SIGTERM in a row, then a planned restart
 	faultKinds
 )
 
 var faultNames = [...]string{"silence links", "silence a link", "reset links", "reset a link", "refuse links", "hang links", "vanish switch",
 	"hang switch", "kill switch", "replace switch", "drain switch", "cut calls", "silence board", "break board", "lose board", "reload",
-	"restart", "reload and restart", "kill controller", "silence callers", "reset callers", "crowd", "bad clients"}
+	"restart", "reload and restart", "kill controller", "silence callers", "reset callers", "crowd", "bad clients", "end a link one way", "burst", "signals"}
 
 func (k FaultKind) String() string { return faultNames[k] }
 
@@ -76,6 +79,16 @@
 	Impatient   float64 // share of calls given up early
 	Repeat      float64 // share of refused calls that come again at once
 	Release     float64 // share of standing calls that the caller ends
+	Transit     float64 // share of calls in transit
+	Again       float64 // share of calls that were cut and come again
+	Brief       float64 // share of calls with little time left
+}
+
+// ClassPlan is one class of calls.
+type ClassPlan struct {
+	Name  string
+	Aim   time.Duration
+	Worth float64
 }
 
 // SwitchPlan is how switches behave.
@@ -85,12 +98,13 @@
 	AnswerMax time.Duration
 	HoldMin   time.Duration
 	HoldMax   time.Duration
-	Spoilt    float64 // shares of answers
-	Broken    float64
-	Never     float64
-	Late      float64
-	Twice     float64
-	Refused   float64
+	Shares    [setUpEnds]float64 // of what becomes of set-ups; the rest stands
+
+	EchoesCSeq    bool          // answers repeat the number in the set-up's CSeq, else they have 1
+	HearsReleases bool          // a release is answered
+	ResetNew      float64       // share of connections that are reset when new
+	IdleClose     time.Duration // connections are closed or reset when idle for so long, 0: never
+	Unasked       time.Duration // between reports of the group's state that nobody asked for, 0: none
 }
 
 // Plan is all that one seed draws. The same seed gives the same plan.
@@ -100,9 +114,13 @@
 	Length      time.Duration // during which callers call and faults come
 	Deadline    time.Duration // the longest a caller waits
 	Callers     []CallerPlan
+	Classes     []ClassPlan
 	Switches    SwitchPlan
-	PieceMost   int // octets of a piece, 0: as they come
+	PieceMost   int             // octets of a piece, 0: as they come
+	Ways        []time.Duration // one way between a controller and a switch, by cell and controller
+	Jitter      time.Duration   // and up to so much longer
 	ConnectMost time.Duration
+	BoardTwice  bool // boards write events twice
 	Faults      []Injection
 }
 
@@ -111,12 +129,17 @@
 	r := rand.New(rand.NewPCG(seed, 0x708859))
 	p := Plan{Seed: seed, Controllers: 3 + r.IntN(2), Length: length}
 	p.Deadline = []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second}[r.IntN(3)]
-	p.Switches = SwitchPlan{Circuits: 10 + r.IntN(60), AnswerMin: 2 * time.Millisecond, AnswerMax: upTo(r, 20*time.Millisecond, 120*time.Millisecond),
-		HoldMin: 100 * time.Millisecond, HoldMax: upTo(r, time.Second, 6*time.Second), Refused: 0.05}
-	if r.IntN(2) == 0 {
-		p.Switches.Spoilt, p.Switches.Broken, p.Switches.Never = 0.01*r.Float64(), 0.01*r.Float64(), 0.02*r.Float64()
-		p.Switches.Late, p.Switches.Twice = 0.02*r.Float64(), 0.05*r.Float64()
+	for i, name := range []string{"voice", "data", "alarm"}[:1+r.IntN(3)] {
+		share := 0.4 + 0.55*r.Float64()
+		p.Classes = append(p.Classes, ClassPlan{Name: name, Aim: time.Duration(share * float64(p.Deadline)), Worth: float64(1 + 2*i)})
+	}
+	p.Switches = drawSwitches(r)
+	same, cross := upTo(r, 0, 8*time.Millisecond), upTo(r, 4*time.Millisecond, wayMost)
+	for range p.Controllers * p.Controllers {
+		p.Ways = append(p.Ways, []time.Duration{same, cross}[r.IntN(2)])
 	}
+	p.Jitter = upTo(r, 0, jitterMost)
+	p.BoardTwice = r.IntN(4) == 0
 	if r.IntN(3) == 0 {
 		p.PieceMost = 40 + r.IntN(200)
 	}
@@ -130,8 +153,49 @@
 	return p
 }
 
+// The longest way between a controller and a switch, and how much longer octets take at times.
+const (
+	wayMost    = 24 * time.Millisecond
+	jitterMost = 8 * time.Millisecond
+)
+
+// shareMost is the greatest share of set-ups that end in one of the unusual ways.
+const shareMost = 0.08
+
+func drawSwitches(r *rand.Rand) SwitchPlan {
+	p := SwitchPlan{Circuits: 10 + r.IntN(60), AnswerMin: 2 * time.Millisecond, AnswerMax: upTo(r, 20*time.Millisecond, 120*time.Millisecond),
+		HoldMin: 100 * time.Millisecond, HoldMax: upTo(r, time.Second, 6*time.Second), EchoesCSeq: r.IntN(2) == 0, HearsReleases: r.IntN(4) > 0}
+	for kind := EndFull; kind < setUpEnds; kind++ {
+		if r.IntN(2) == 0 {
+			p.Shares[kind] = shareMost * r.Float64()
+		}
+	}
+	if r.IntN(3) == 0 {
+		p.ResetNew = 0.1 * r.Float64()
+	}
+	if r.IntN(3) == 0 {
+		p.IdleClose = upTo(r, time.Second, 4*time.Second)
+	}
+	if r.IntN(2) == 0 {
+		p.Unasked = upTo(r, 100*time.Millisecond, time.Second)
+	}
+	return p
+}
+
+// onlyShare is the share of set-ups that end in the one way of a run that has no other.
+const onlyShare = 0.35
+
+// Only leaves a plan with one unusual way in which set-ups end, and no faults: what is found then was found in that way.
+func (p *Plan) Only(kind SetUpEnd) {
+	p.Switches.Shares = [setUpEnds]float64{}
+	p.Switches.Shares[kind] = onlyShare
+	p.Switches.ResetNew, p.Switches.IdleClose = 0, 0
+	p.Faults = nil
+}
+
 func drawCallers(r *rand.Rand) CallerPlan {
-	c := CallerPlan{Connections: 1 + r.IntN(3), Rate: 5 + 15*r.Float64(), Impatient: 0.1 * r.Float64(), Repeat: r.Float64(), Release: 0.3 * r.Float64()}
+	c := CallerPlan{Connections: 1 + r.IntN(3), Rate: 5 + 15*r.Float64(), Impatient: 0.1 * r.Float64(), Repeat: r.Float64(), Release: 0.3 * r.Float64(),
+		Transit: 0.2 * r.Float64(), Again: r.Float64(), Brief: 0.1 * r.Float64()}
 	for range c.Connections {
 		c.Answer = append(c.Answer, ReleaseAnswer(r.IntN(3)))
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -50,16 +50,23 @@
 
 func (k Kind) String() string { return kindNames[k] }
 
+// How a connection is lost without an end that either side can see.
+const (
+	lostSilent   = "silent"
+	lostVanished = "vanished"
+)
+
 // Event is one thing that was seen. Fields that do not apply are zero.
 type Event struct {
 	At         time.Duration // since the run began
 	Kind       Kind
 	Controller int
 	Switch     uint32
+	Cell       int // of a switch that is listed; of a call in transit its destination, from 1
 	Call       string
 	Conn       int
 	Status     int
-	Number     uint64        // of an event of the board
+	Number     uint64        // of an event of the board, or of a run at a switch
 	Span       time.Duration // how long a message may have lain unread, a stall has lasted, a caller waits, news may take
 	Text       string
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 type Options struct {
 	Program  string // the built binary
 	Plant    string // a fault that the controllers have on purpose, "" for none
+	Only     string // the one unusual way in which set-ups end, by SetUpEnd's name, "" for what the seed draws
 	From     uint64 // the first seed
 	Seeds    int
 	Parallel int           // runs side by side
@@ -33,6 +35,7 @@
 	Calls    int
 	Stood    int
 	Told     int
+	Again    int // set-ups of calls that were tried before
 	MemoryKB int
 	Files    int
 	Stalled  time.Duration // how long the rig itself stood still
@@ -40,6 +43,9 @@
 	Folder   string
 }
 
+// ErrOnly tells that set-ups cannot end in such a way.
+var ErrOnly = errors.New("no such end of a set-up")
+
 // Run runs the seeds and prints a line for each, and for a failure the rule, the call, its timeline and the command that plays it again.
 func Run(ctx context.Context, o Options) ([]Result, error) {
 	results := make([]Result, o.Seeds)
@@ -67,6 +73,14 @@
 
 func runSeed(ctx context.Context, o Options, seed uint64) (r Result) {
 	r.Plan = Draw(seed, o.Length)
+	if o.Only != "" {
+		kind, ok := SetUpEndNamed(o.Only)
+		if !ok {
+			r.Err = fmt.Errorf("%w: %q", ErrOnly, o.Only)
+			return r
+		}
+		r.Plan.Only(kind)
+	}
 	folder := o.Folder
 	if folder == "" {
 		made, err := os.MkdirTemp("", "soak-")
@@ -123,6 +137,7 @@
 }
 
 func (r *Result) count(events []Event) {
+	tried := map[string]bool{}
 	for _, e := range events {
 		switch e.Kind {
 		case CallSent:
@@ -131,6 +146,11 @@
 			r.Stood++
 		case CallToldOver:
 			r.Told++
+		case TryArrived:
+			if tried[e.Call] {
+				r.Again++
+			}
+			tried[e.Call] = true
 		case RigStalled:
 			r.Stalled += e.Span
 		}
@@ -151,8 +171,8 @@
 	for _, f := range r.Plan.Faults {
 		kinds[f.Kind.String()]++
 	}
-	fmt.Fprintf(o.Out, "seed %d: %s; %d controllers, %d set-ups, %d stood, %d releases told, faults %v, %d KiB, %d descriptors, rig stalled %v\n", r.Plan.Seed, verdict,
-		r.Plan.Controllers, r.Calls, r.Stood, r.Told, kinds, r.MemoryKB, r.Files, r.Stalled.Round(time.Millisecond))
+	fmt.Fprintf(o.Out, "seed %d: %s; %d controllers, %d set-ups, %d stood, %d tried again, %d releases told, faults %v, %d KiB, %d descriptors, rig stalled %v\n", r.Plan.Seed, verdict,
+		r.Plan.Controllers, r.Calls, r.Stood, r.Again, r.Told, kinds, r.MemoryKB, r.Files, r.Stalled.Round(time.Millisecond))
 	for _, b := range r.Breaches[:min(breachesShown, len(r.Breaches))] {
 		fmt.Fprintf(o.Out, "  %s\n", b)
 		for _, line := range b.Timeline {
@@ -164,6 +184,9 @@
 		if o.Plant != "" {
 			again += " --plant " + o.Plant
 		}
+		if o.Only != "" {
+			again += " --only " + o.Only
+		}
 		fmt.Fprintf(o.Out, "  play it again: %s\n", again)
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -19,6 +19,7 @@
 	boardPort  = 2379
 	settleTime = 9500 * time.Millisecond // after the last call: what is over must be told within 8 s and slack
 	crowdSize  = 120
+	burstSize  = 100
 	listLater  = 700 * time.Millisecond // how much later than a switch's death or start the board tells of it, at most
 
 	// At a planned restart new connections go on coming for so long.
@@ -79,7 +80,9 @@
 		}
 		w.switches = append(w.switches, s)
 		for i := range n {
-			p, err := faultproxy.Listen(w.address(kindProxy+i, cell+1, port), w.switchAddress(s, i), shape, w.plan.Seed+uint64(cell*n+i))
+			way := shape
+			way.Way, way.Jitter = w.plan.Ways[cell*n+i], w.plan.Jitter
+			p, err := faultproxy.Listen(w.address(kindProxy+i, cell+1, port), w.switchAddress(s, i), way, w.plan.Seed+uint64(cell*n+i))
 			if err != nil {
 				return err
 			}
@@ -89,7 +92,7 @@
 		entries = append(entries, board.Switch{ID: s.id, Cell: cell})
 	}
 	for i := range n {
-		b := newBoard(w.log, i)
+		b := newBoard(w.log, i, w.plan.BoardTwice)
 		if err := b.listen(w.address(kindBoard, i+1, boardPort)); err != nil {
 			return err
 		}
@@ -141,7 +144,7 @@
 func (w *world) announce(whole bool, entries ...board.Switch) {
 	w.number++
 	for _, s := range entries {
-		w.log.Add(Event{Kind: ListChanged, Controller: -1, Switch: s.ID, Status: int(s.State), Number: w.number, Text: fmt.Sprintf("cell %d state %d", s.Cell, s.State),
+		w.log.Add(Event{Kind: ListChanged, Controller: -1, Switch: s.ID, Cell: s.Cell, Status: int(s.State), Number: w.number, Text: fmt.Sprintf("cell %d state %d", s.Cell, s.State),
 			Span: time.Duration(s.StartedMS) * time.Millisecond})
 	}
 	for i, b := range w.boards {
@@ -266,11 +269,11 @@
 	proxy, s, b := w.proxies[f.Cell][f.Controller], w.cell(f.Cell), w.boards[f.Controller]
 	switch f.Kind {
 	case SilenceLinks:
-		s.lose(f.Controller, "", "silent")
+		s.lose(f.Controller, "", lostSilent)
 		proxy.Silence()
 	case SilenceLink:
 		if from := proxy.SilenceOne(); from != "" {
-			s.lose(f.Controller, from, "silent")
+			s.lose(f.Controller, from, lostSilent)
 		}
 	case ResetLinks:
 		s.lose(f.Controller, "", "reset")
@@ -330,6 +333,14 @@
 		for range crowdSize {
 			w.all.Go(func() { idle(w.controllers[f.Controller].listen, w.stop) })
 		}
+	case EndLink:
+		proxy.EndOne()
+	case Burst:
+		for range burstSize {
+			w.all.Go(w.callers[f.Controller].call)
+		}
+	case Signals:
+		w.signals(f)
 	case BadClients:
 		for i := range 8 * f.Count {
 			r := rand.New(rand.NewPCG(w.plan.Seed, uint64(f.At)+uint64(i)))
@@ -356,7 +367,7 @@
 	s := w.cell(cell)
 	for i, p := range w.proxies[cell] {
 		p.Hang(true)
-		s.lose(i, "", "vanished")
+		s.lose(i, "", lostVanished)
 		p.Silence()
 	}
 	w.pause(span)
@@ -428,6 +439,20 @@
 	}
 }
 
+// signals sends signals in a row, each a new configuration or none, and restarts the controller.
+func (w *world) signals(f Injection) {
+	f.Count = 1
+	for range 2 {
+		w.reload(f)
+		w.controllers[f.Controller].signal(syscall.SIGHUP) // nothing new
+	}
+	time.AfterFunc(w.drawn(0, 100*time.Millisecond), func() {
+		w.controllers[f.Controller].again(syscall.SIGTERM)
+		w.controllers[f.Controller].again(syscall.SIGHUP)
+	})
+	w.restart(f.Controller)
+}
+
 // restart is a planned one: SIGTERM, SIGKILL at the earliest, and a new life. Callers use open connections until the kill.
 func (w *world) restart(i int) {
 	if !w.restarting[i].TryLock() {
