Soak: a set-up is noted before its connection can end; releases no caller could be told of

Judged as for a kill, only where no caller's connection was usable for the time that the telling may take.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -247,8 +247,8 @@
 	if k.again {
 		text = "again"
 	}
+	g.log.Add(Event{Kind: CallSent, Controller: g.controller, Call: k.id, Conn: l.conn, Cell: k.transit, Span: expires, Text: text}) // before its connection can be seen to end
 	g.mu.Unlock()
-	g.log.Add(Event{Kind: CallSent, Controller: g.controller, Call: k.id, Conn: l.conn, Cell: k.transit, Span: expires, Text: text})
 	g.write(l, &k.message)
 }
 
--- a/internal/soak/judge_told.go
+++ b/internal/soak/judge_told.go
@@ -62,7 +62,7 @@
 			j.toldOfRelease(k, e, toldAt)
 		}
 		if e.Kind == ReleaseWritten {
-			held = held || j.killedWithin(k.controller, e.At, toldWithin+slack)
+			held = held || j.killedWithin(k.controller, e.At, toldWithin+slack) || j.endedWithoutCallers(k.controller, e.At)
 			j.toldOfRelease(k, e, toldAt)
 		}
 	}
@@ -73,6 +73,19 @@
 	}
 }
 
+// endedWithoutCallers tells that a life of a controller ended before a release that it read at an instant could be told: until then no caller's
+// connection was open and not silent for the time that takes.
+func (j *judge) endedWithoutCallers(controller int, at time.Duration) bool {
+	for _, life := range j.lives[controller] {
+		if at < life.from || at > life.to || life.to == never {
+			continue
+		}
+		from, ok := j.usableFrom(controller, at, toldWithin+slack+passMost)
+		return !ok || from+toldWithin+slack+passMost > life.to
+	}
+	return false
+}
+
 // killedWithin tells whether a controller got SIGKILL in a span.
 func (j *judge) killedWithin(controller int, from, span time.Duration) bool {
 	return slices.ContainsFunc(j.events, func(e Event) bool {
