--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -28,7 +28,7 @@
 	Jitter      time.Duration // and up to so much longer
 	PieceMost   int           // octets are passed in pieces of at most so many, 0: as they come
 	PieceWait   time.Duration // between two pieces, at most
-	PieceAll    time.Duration // and for the pieces of what was read at once all together, so that a flood is not held up
+	PieceAll    time.Duration // and for the pieces of what was read at once all together; none where more waits, so that a flood is not held up
 }
 
 // Proxy passes connections from one address to another.
@@ -342,6 +342,12 @@
 	return n, nil
 }
 
+// behind tells that more has come than what was read last.
+func behind(from io.Reader) bool {
+	d, ok := from.(*delayLine)
+	return ok && len(d.parcels) > 0
+}
+
 // drain reads a line to its end, so that what fills it does not wait for good.
 func drain(from io.Reader) {
 	if d, ok := from.(*delayLine); ok {
@@ -358,7 +364,7 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !l.silent.Load() && to != nil {
-			p.write(l, to, buf[:n])
+			p.write(l, to, buf[:n], behind(from))
 		}
 		if err == nil {
 			continue
@@ -375,8 +381,11 @@
 	}
 }
 
-func (p *Proxy) write(l *Link, to net.Conn, b []byte) {
+func (p *Proxy) write(l *Link, to net.Conn, b []byte, behind bool) {
 	left := p.shape.PieceAll
+	if behind {
+		left = 0
+	}
 	for len(b) > 0 && !l.silent.Load() {
 		n := len(b)
 		if p.shape.PieceMost > 0 {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -240,6 +240,11 @@
 // send writes a call's set-up. It counts as sent from just before its last octet is written.
 func (g *Callers) send(k *placedCall, l *callerLink, expires time.Duration) {
 	g.mu.Lock()
+	if l.gone { // it ended as it was chosen: nothing is sent
+		delete(g.calls, k.id)
+		g.mu.Unlock()
+		return
+	}
 	k.link = l
 	k.sentAt = g.log.Now()
 	l.usedAt = k.sentAt
@@ -394,7 +399,7 @@
 	}
 	var unanswered []*placedCall
 	for _, k := range g.calls {
-		if k.link == l && !k.answered && !k.givenUp {
+		if k.link == l && k.sentAt > 0 && !k.answered && !k.givenUp {
 			unanswered = append(unanswered, k)
 		}
 	}
