Calls whose release and its repetition were both lost are released on both sides

A connection that came up and never said a word while a later one speaks cannot be a hang, in which all go on: after 1 s the calls that stood before, and whose own connection is not open, are released towards caller and switch. Nothing is ended where an earlier connection speaks again, nor where none is left that would tell.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -369,6 +369,7 @@
 	}
 	f.heard(now)
 	if l := f.link(c); l != nil {
+		f.spoke(l, now)
 		l.heardAt, l.askedAt, l.partAt, l.heard, l.silent = now, 0, 0, true, false
 		if m.Status != 0 && m.CSeqMethod == sip.Options {
 			f.tested(l, now, m.CallID)
--- a/internal/b2bua/far.go
+++ b/internal/b2bua/far.go
@@ -113,17 +113,18 @@
 	ticket  uint32
 	// fetchFrom is the least ticket of a dial whose connection brings again what was lost on one that broke: switches repeat their
 	// releases on the next connection that opens, and on no other. 0: nothing was lost since the last one opened.
-	fetchFrom uint32
-	lostAt    policy.Tenths // when a connection broke last, which the switch may take for open; 0 when none did
-	refetchAt policy.Tenths // when the next connection is opened for calls whose own is not open
-	resumes   bool          // nothing was heard of the switch since a connection broke
-	pace      *reconnect.Pace
-	dialAt    policy.Tenths // the next dial that no call asks for
-	heardAt   policy.Tenths // of the switch, on any connection
-	short     int           // connections in a row that held for less than heldLeast
-	told      policy.Report // free circuits and size last told, for the log
-	trip      policy.Tenths // the way there and back, as tests measured it
-	measured  bool
+	fetchFrom  uint32
+	lostAt     policy.Tenths // when a connection broke last, which the switch may take for open; 0 when none did
+	refetchAt  policy.Tenths // when the next connection is opened for calls whose own is not open
+	resumes    bool          // nothing was heard of the switch since a connection broke
+	lostRepeat lostRepeat
+	pace       *reconnect.Pace
+	dialAt     policy.Tenths // the next dial that no call asks for
+	heardAt    policy.Tenths // of the switch, on any connection
+	short      int           // connections in a row that held for less than heldLeast
+	told       policy.Report // free circuits and size last told, for the log
+	trip       policy.Tenths // the way there and back, as tests measured it
+	measured   bool
 }
 
 // room is the connection on which the next set-up goes: the least laden of those in no doubt that are not to be avoided, nil when there is none.
@@ -348,6 +349,9 @@
 
 // closeLink closes a connection to a switch. With whole it works: what crosses the close is still read.
 func (a *Agent) closeLink(f *farEnd, l *link, why string, whole bool) {
+	if l.conn == f.lostRepeat.conn {
+		f.lostRepeat.closed = true
+	}
 	a.out.Close(l.conn, why)
 	a.LinkDown(a.now, l.conn, whole)
 	a.closing[l.conn] = f.entry.ID
@@ -379,6 +383,9 @@
 			continue
 		}
 		for _, l := range slices.Clone(f.links) {
+			if a.doubtful(f, l) {
+				f.suspectRepeat(l)
+			}
 			quiet, most := a.silentFor(l.heardAt), askAfter
 			if l.tries > 0 {
 				quiet, most = a.silentFor(max(l.heardAt, l.busyAt)), askBusy
@@ -401,6 +408,7 @@
 		if len(f.waiting) > 0 && !a.awaited(f) || needed && a.now >= f.dialAt {
 			a.fetch(f)
 		}
+		a.repeatDue(f)
 		if a.silentFor(f.heardAt) > goneAfter {
 			a.cutStanding(f, a.now, "nothing is heard of it")
 		}
