--- a/internal/soak/judge_told.go
+++ b/internal/soak/judge_told.go
@@ -62,7 +62,7 @@
 			j.toldOfRelease(k, e, toldAt)
 		}
 		if e.Kind == ReleaseWritten {
-			held = held || j.killedWithin(k.controller, e.At, toldWithin+slack) || j.endedWithoutCallers(k.controller, e.At)
+			held = held || j.killedWithin(k.controller, e.At, toldWithin+slack, func(Event) bool { return true }) || j.endedWithoutCallers(k.controller, e.At)
 			j.toldOfRelease(k, e, toldAt)
 		}
 	}
@@ -86,10 +86,10 @@
 	return false
 }
 
-// killedWithin tells whether a controller got SIGKILL in a span.
-func (j *judge) killedWithin(controller int, from, span time.Duration) bool {
+// killedWithin tells whether a controller got such a SIGKILL in a span.
+func (j *judge) killedWithin(controller int, from, span time.Duration, which func(Event) bool) bool {
 	return slices.ContainsFunc(j.events, func(e Event) bool {
-		return e.Kind == ControllerTold && e.Controller == controller && e.Text == "killed" && e.At >= from-slack && e.At <= from+span
+		return e.Kind == ControllerTold && e.Controller == controller && e.Text == "killed" && e.At >= from-slack && e.At <= from+span && which(e)
 	})
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -50,10 +50,11 @@
 
 func (k Kind) String() string { return kindNames[k] }
 
-// How a connection is lost without an end that either side can see.
+// How a connection is lost. Of the first two neither side can see the end.
 const (
 	lostSilent   = "silent"
 	lostVanished = "vanished"
+	lostReset    = "reset"
 )
 
 // Event is one thing that was seen. Fields that do not apply are zero.
--- a/internal/soak/switch.go
+++ b/internal/soak/switch.go
@@ -276,6 +276,13 @@
 	}
 }
 
+// loseOne notes that the connection of a controller from an address is lost; there is none where it is "".
+func (s *Switch) loseOne(controller int, from, how string) {
+	if from != "" {
+		s.lose(controller, from, how)
+	}
+}
+
 // lose notes that connections of a controller are lost; from names the one, all where it is "".
 func (s *Switch) lose(controller int, from, how string) {
 	s.mu.Lock()
