A call that its switch releases before its caller has an answer fails, and is taken back

Callers would have seen: a call answered by a further try after its switch had released the earlier one, whose answer came late or not at all; never told that it was over. Cause: the platform knows a call by its id alone. Causes 16 and 41 are of a call that stood; any other resets a set-up before its answer. Now such a release ends the call: CANCEL to what is out, failure to the caller, no further try; a call that stands is released on both sides, whichever switch and try the release is of. With any other cause, the reset of an earlier try still ends no later one. The soak's judge holds a caller's answer against every such release.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -11,7 +11,8 @@
 //	| 486, 500 and other refusals                         | Ended(Faulted)                                        |
 //	| 480                                                 | Ended(Unsent)                                         |
 //	| 504, connection lost                                | Ended(Cut)                                            |
-//	| release before the answer of a first try            | CANCEL, Ended(Cut)                                    |
+//	| release with cause 16 or 41, no answer yet          | CANCEL, Ended(Cut, final); the caller has its failure |
+//	| release with another cause, a first try is out      | CANCEL, Ended(Cut)                                    |
 //	| the same, where an earlier try may be meant         | nothing; the try goes on                              |
 //	| no connection in time, or refused                   | Ended(Unreached)                                      |
 //	| no answer in the try's time, never past the caller's | CANCEL, Ended(TimedOut); the module still owes an answer |
--- a/internal/b2bua/record.go
+++ b/internal/b2bua/record.go
@@ -21,7 +21,7 @@
 	SwitchDown                          // a connection to a switch ended
 	CallerDown                          // a caller's connection ended with set-ups or releases open on it
 	TryState                            // a route try was written, or ended
-	TryReset                            // a switch released a call while its first route try was out there
+	TryReset                            // a switch released a call that had no answer yet
 	TryEventIgnored                     // something came for a route try that means nothing in its state
 	AnswerIgnored                       // a switch answered a set-up for which nobody waits
 	CallRefused                         // a call was refused or failed
--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -38,16 +38,10 @@
 		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
 		a.remember(k)
 		a.releaseCaller(k, why)
-	case k.standsAt(f.entry.ID):
-		a.releaseCaller(k, why)
-		if k.earlierMayBeReleased(f.entry.ID) { // or the call stands there still, for nobody
-			a.releaseSwitch(f.entry.ID, k.last().conn, a.bye(k.callID, k.uri, causeNormal))
-		}
-		if why == causeNormal {
-			a.ended(k, policy.Released, rep)
-		} else {
-			a.ended(k, policy.Cut, rep)
-		}
+	case k.state == Standing && (k.far() == f.entry.ID || endsCall(why) && k.triedAt(f.entry.ID)):
+		a.releasedStanding(k, f, why, rep)
+	case (k.state == Offered || k.state == Trying) && endsCall(why) && k.triedAt(f.entry.ID):
+		a.releasedUnanswered(k, c, f, why, rep)
 	case k.state == Trying && k.far() == f.entry.ID && k.last().state == tryOut && !k.earlierMayBeReleased(f.entry.ID):
 		a.resetTry(k.last(), c, why)
 	default:
@@ -55,6 +49,39 @@
 	}
 }
 
+// endsCall tells that a release says that its call stood and is over; with any other cause it resets a set-up before the answer.
+func endsCall(cause int) bool { return cause == causeNormal || cause == causeTempFail }
+
+// releasedStanding ends a call that stands. The release may be of an earlier try of it, there or elsewhere: the call is over for the platform all
+// the same, which knows calls by their ids alone, so what stands now is released as well.
+func (a *Agent) releasedStanding(k *call, f *farEnd, why int, rep policy.Report) {
+	a.releaseCaller(k, why)
+	if k.far() != f.entry.ID || k.earlierMayBeReleased(f.entry.ID) {
+		a.releaseSwitch(k.far(), k.last().conn, a.bye(k.callID, k.uri, causeNormal))
+	}
+	if why == causeNormal {
+		a.ended(k, policy.Released, rep)
+	} else {
+		a.ended(k, policy.Cut, rep)
+	}
+}
+
+// releasedUnanswered fails a call that stood and is over though its caller has no answer: that was lost on its way. What is out of it is taken
+// back. A further try would have its caller answered after its release, and never told of that.
+func (a *Agent) releasedUnanswered(k *call, c Conn, f *farEnd, why int, rep policy.Report) {
+	t := k.last()
+	a.tries.Reset++
+	a.out.Record(Record{Kind: TryReset, CallID: k.callID, Conn: c, Switch: f.entry.ID, Try: t.number + 1, To: k.state, Cause: why, Waited: a.now - t.sentAt,
+		Why: fmt.Sprintf("the call is over, its last try is %s on connection %d", t.state, t.conn)})
+	if k.state == Trying {
+		a.abandon(t, "the call is over")
+	}
+	a.refuse(k, sip.ServerError, 0)
+	a.become(k, Over)
+	a.tally.Aborted++
+	a.decide.Ended(a.now, k.handle, t.number, t.sw, policy.Cut, true, policy.NoReason, 0, rep)
+}
+
 // resetTry ends a try that is out as its switch releases the call. It is taken back all the same: the release may be of a set-up under this id
 // from before this process started.
 func (a *Agent) resetTry(t *routeTry, c Conn, why int) {
--- a/internal/b2bua/route_try.go
+++ b/internal/b2bua/route_try.go
@@ -128,6 +128,13 @@
 	return slices.ContainsFunc(t.call.tries[:t.number], func(earlier *routeTry) bool { return earlier.conn == c && earlier.mayBeReleased() })
 }
 
+// triedAt tells that a set-up of a call was written to a switch and may have run there.
+func (k *call) triedAt(sw uint32) bool {
+	return slices.ContainsFunc(k.tries, func(t *routeTry) bool {
+		return t.sw == sw && (t.state == tryOut || t.state == tryStanding || t.mayBeReleased())
+	})
+}
+
 // earlierMayBeReleased tells that a release from a switch may belong to a try before the last one.
 func (k *call) earlierMayBeReleased(sw uint32) bool {
 	return slices.ContainsFunc(k.tries[:max(0, len(k.tries)-1)], func(t *routeTry) bool { return t.sw == sw && t.mayBeReleased() })
--- a/internal/soak/judge_told.go
+++ b/internal/soak/judge_told.go
@@ -56,6 +56,9 @@
 	held := false // a release reached a life that was killed before it had to pass it on, and what that held is no duty any more
 	for _, e := range k.events {
 		if e.Switch != stood.Switch || e.Number != stood.Number {
+			if e.Kind == ReleaseWritten && (e.Status == causeNormal || e.Status == causeCut) && e.At < toldAt {
+				j.toldOfRelease(k, e, toldAt) // a call is known by its id alone: by this release it is over, though another run of it stands
+			}
 			continue
 		}
 		if e.Kind == CallOver && e.Text == textReleased { // the controller cut it, and must tell its caller as well
--- a/internal/soak/switch_run.go
+++ b/internal/soak/switch_run.go
@@ -394,7 +394,7 @@
 
 func (s *Switch) writeRelease(l *switchLink, r release) {
 	s.write(l, s.bye(r))
-	s.log.Add(Event{Kind: ReleaseWritten, Controller: r.run.controller, Switch: s.id, Call: r.run.id, Conn: l.conn, Number: uint64(r.run.number)})
+	s.log.Add(Event{Kind: ReleaseWritten, Controller: r.run.controller, Switch: s.id, Call: r.run.id, Conn: l.conn, Number: uint64(r.run.number), Status: r.cause})
 }
 
 // CutCalls cuts every second call that stands.
