A report that comes with a release of another switch is told as of that switch

The report is told as of its own switch. Measured: TestCallReleasedByTheSwitchOfAnEarlierTryIsOverOnAllSides fails without it ('told as of [1]'), passes with it; b2bua passes.

--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -55,6 +55,7 @@
 // releasedStanding ends a call that stands. The release may be of an earlier try of it, there or elsewhere: the call is over for the platform all
 // the same, which knows calls by their ids alone, so what stands now is released as well.
 func (a *Agent) releasedStanding(k *call, f *farEnd, why int, rep policy.Report) {
+	rep = a.reportOf(f, k, rep)
 	a.releaseCaller(k, why)
 	if k.far() != f.entry.ID || k.earlierMayBeReleased(f.entry.ID) {
 		a.releaseSwitch(k.far(), k.last().conn, a.bye(k.callID, k.uri, causeNormal))
@@ -70,6 +71,7 @@
 // back. A further try would have its caller answered after its release, and never told of that.
 func (a *Agent) releasedUnanswered(k *call, c Conn, f *farEnd, why int, rep policy.Report) {
 	t := k.last()
+	rep = a.reportOf(f, k, rep)
 	a.tries.Reset++
 	a.out.Record(Record{Kind: TryReset, CallID: k.callID, Conn: c, Switch: f.entry.ID, Try: t.number + 1, To: k.state, Cause: why, Waited: a.now - t.sentAt,
 		Why: fmt.Sprintf("the call is over, its last try is %s on connection %d", t.state, t.conn)})
@@ -82,6 +84,18 @@
 	a.decide.Ended(a.now, k.handle, t.number, t.sw, policy.Cut, true, policy.NoReason, 0, rep)
 }
 
+// reportOf is the report that goes with the end of a call's last try: the one that came, if it is of that try's switch. One of another switch is told
+// of that.
+func (a *Agent) reportOf(f *farEnd, k *call, rep policy.Report) policy.Report {
+	if k.far() == f.entry.ID {
+		return rep
+	}
+	if rep.Size >= 0 {
+		a.decide.Circuits(a.now, f.entry.ID, rep)
+	}
+	return untold
+}
+
 // resetTry ends a try that is out as its switch releases the call. It is taken back all the same: the release may be of a set-up under this id
 // from before this process started.
 func (a *Agent) resetTry(t *routeTry, c Conn, why int) {
--- a/internal/b2bua/route_try_test.go
+++ b/internal/b2bua/route_try_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"indigodrift/internal/exchange"
 	"indigodrift/internal/sip"
 	"indigodrift/policy"
 )
@@ -102,10 +103,17 @@
 	id, _ := readID(k.id)
 	r.a.calls[id].tries[0].sw = 2
 	k.eitherReleased, k.overAt = true, r.now
-	r.a.FromSwitch(r.now, r.linkTo(2), r.bye(k.id, 16))
+	release := r.bye(k.id, 16)
+	release.Fields = append(release.Fields, sip.Field{Name: fieldLoad, Value: "x0:3;x1:33"})
+	decider := &reported{Decider: r.a.decide}
+	r.a.decide = decider
+	r.a.FromSwitch(r.now, r.linkTo(2), release)
 	if r.pass(1000); k.callerReleased != 1 || k.switchReleased != 1 {
 		t.Errorf("the caller was told %d times, the switch of the call %d times", k.callerReleased, k.switchReleased)
 	}
+	if got := fmt.Sprint(decider.of); got != "[2]" {
+		t.Errorf("the report of switch 2 was told as of %s", got)
+	}
 }
 
 // Guards against a release that cuts a later try: it goes ahead of that, on the same connection, which keeps their order.
@@ -253,3 +261,23 @@
 		t.Errorf("the second try is %v", r.tryOf(k, 2))
 	}
 }
+
+// reported notes of which switches reports of a group of 33 circuits were told.
+type reported struct {
+	exchange.Decider
+	of []uint32
+}
+
+func (d *reported) Circuits(now policy.Tenths, sw uint32, rep policy.Report) {
+	if rep.Size == 33 {
+		d.of = append(d.of, sw)
+	}
+	d.Decider.Circuits(now, sw, rep)
+}
+
+func (d *reported) Ended(now policy.Tenths, id uint32, try int, sw uint32, end policy.Ending, final bool, why policy.Reason, wait policy.Tenths, rep policy.Report) {
+	if rep.Size == 33 {
+		d.of = append(d.of, sw)
+	}
+	d.Decider.Ended(now, id, try, sw, end, final, why, wait, rep)
+}
