The stand-in for portability finds a port that is free for UDP and TCP

Traced: the stand-in takes a free UDP port and listens on the same one for TCP, which another program may hold; with more processes on loopback that comes about more often. It tries further ports now.

--- a/internal/standin/enum.go
+++ b/internal/standin/enum.go
@@ -22,17 +22,11 @@
 
 // NewPorted serves numbers (by domain name) on one loopback port, UDP and TCP.
 func NewPorted(numbers map[string]string) (*Ported, error) {
-	p := &Ported{numbers: numbers}
-	pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+	pc, ln, err := listenBoth()
 	if err != nil {
 		return nil, err
 	}
-	p.At = pc.LocalAddr().String()
-	ln, err := net.Listen("tcp", p.At)
-	if err != nil {
-		pc.Close()
-		return nil, err
-	}
+	p := &Ported{numbers: numbers, At: pc.LocalAddr().String()}
 	p.all = []*dns.Server{{PacketConn: pc, Handler: p}, {Listener: ln, Handler: p}}
 	for _, s := range p.all {
 		up := make(chan struct{})
@@ -43,6 +37,23 @@
 	return p, nil
 }
 
+// portTries is how many ports are tried: one that is free for UDP may be another program's for TCP.
+const portTries = 20
+
+// listenBoth listens on one loopback port, UDP and TCP.
+func listenBoth() (pc net.PacketConn, ln net.Listener, err error) {
+	for range portTries {
+		if pc, err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
+			return nil, nil, err
+		}
+		if ln, err = net.Listen("tcp", pc.LocalAddr().String()); err == nil {
+			return pc, ln, nil
+		}
+		pc.Close()
+	}
+	return nil, nil, err
+}
+
 // Set changes how it answers: "" well, late, silent, truncated, wrong, contradictory, other (another question's answer).
 func (p *Ported) Set(how string, late time.Duration) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/standin/enum_test.go
@@ -0,0 +1,28 @@
+package standin
+
+import (
+	"net"
+	"syscall"
+	"testing"
+)
+
+// Guards against a server that does not start, as the port that it found free for UDP was in use for TCP. Many TCP ports are taken here.
+func TestPortedFindsAPortThatIsFreeForUDPAndTCP(t *testing.T) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	most := min(2000, int(limit.Cur)/2)
+	for range most { // one in fourteen of the system's usual range
+		if ln, err := net.Listen("tcp", "127.0.0.1:0"); err == nil {
+			defer ln.Close()
+		}
+	}
+	for range 200 {
+		p, err := NewPorted(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Stop()
+	}
+}
