An adopted call that any switch releases with cause 16 or 41 is over on both sides

Traced: the release came on an open connection and was ignored, since the tries of an adopted call are not known. Same class, across lives: the call is known by its id alone. Measured: the new unit test fails without the change (told 0 times) and passes; b2bua passes.

--- a/internal/b2bua/release_switch.go
+++ b/internal/b2bua/release_switch.go
@@ -38,7 +38,7 @@
 		k = &call{id: id, callID: m.CallID, uri: m.URI, state: Over}
 		a.remember(k)
 		a.releaseCaller(k, why)
-	case k.state == Standing && (k.far() == f.entry.ID || endsCall(why) && k.triedAt(f.entry.ID)):
+	case k.state == Standing && (k.far() == f.entry.ID || endsCall(why) && (k.adopted || k.triedAt(f.entry.ID))): // of an adopted call the tries are not known
 		a.releasedStanding(k, f, why, rep)
 	case (k.state == Offered || k.state == Trying) && endsCall(why) && k.triedAt(f.entry.ID):
 		a.releasedUnanswered(k, c, f, why, rep)
--- a/internal/b2bua/route_try_test.go
+++ b/internal/b2bua/route_try_test.go
@@ -262,6 +262,21 @@
 	}
 }
 
+// Guards against a call adopted after a restart whose caller is not told, as another switch releases a try of the life before.
+func TestAdoptedCallReleasedByAnotherSwitchIsOverOnAllSides(t *testing.T) {
+	r := newRig(t)
+	r.dialAll(10, 10)
+	c := r.callerUp()
+	const id = "00000000000007d0"
+	k := &heardOf{id: id, on: c, stood: true, standsAt: 1, answers: 1, eitherReleased: true}
+	r.calls[id] = k
+	r.a.FromCaller(r.now, r.now, c, invite(id, "voice", 1000, "dest:1;width:1;at:s-00000001", ""))
+	r.a.FromSwitch(r.now, r.linkTo(2), r.bye(id, 16))
+	if k.callerReleased != 1 || k.switchReleased != 1 {
+		t.Errorf("the caller was told %d times, the switch of the call %d times", k.callerReleased, k.switchReleased)
+	}
+}
+
 // reported notes of which switches reports of a group of 33 circuits were told.
 type reported struct {
 	exchange.Decider
