--- a/review/_standin/badclients.go
+++ b/review/_standin/badclients.go
@@ -29,7 +29,9 @@
 	w.ctl.start()
 	time.Sleep(time.Second) // clients come a little after the test
 	w.usual = &callers{rec: rec, addr: w.ctl.listen}
-	w.usual.run(connections, perSecond, []int{1, 2, 3, 4})
+	if connections > 0 {
+		w.usual.run(connections, perSecond, []int{1, 2, 3, 4})
+	}
 	return w
 }
 
--- a/review/_standin/peers.go
+++ b/review/_standin/peers.go
@@ -212,12 +212,13 @@
 
 // client is one connection of a usual client. It answers releases and acknowledges answers.
 type client struct {
-	w     *wire
-	mu    sync.Mutex
-	calls map[string]*call
-	over  bool
-	find  func(callID string) *call // a call that came on another connection
-	stray int                       // messages for calls that it doesn't know
+	w      *wire
+	mu     sync.Mutex
+	calls  map[string]*call
+	over   bool // the connection has ended
+	overAt time.Time
+	find   func(callID string) *call // a call that came on another connection
+	stray  int                       // messages for calls that it doesn't know
 }
 
 func dialClient(addr string) (*client, error) {
@@ -273,7 +274,7 @@
 	cl.w.c.Close()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.over = true
+	cl.over, cl.overAt = true, time.Now()
 	for _, k := range cl.calls {
 		if k.answers == 0 && k.ended == nil {
 			k.ended, k.endedAt = err, time.Now()
