--- a/review/_standin/badclients.go
+++ b/review/_standin/badclients.go
@@ -46,7 +46,7 @@
 // memory is the case of a call controller that bad clients bring over its memory limit.
 func memory(rec *record, dir string, trouble bool, _ map[string]string) int {
 	const (
-		badClients  = 10
+		badClients  = 5
 		outstanding = 100 // set-ups that each has open at once; a further one follows as soon as one is turned away
 		expiresMS   = 3600000
 		length      = 80 * time.Second
