--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -53,7 +53,8 @@
 }
 
 var cases = map[string]func(rec *record, dir string, trouble bool, opts map[string]string) int{
-	"memory":  memory,
-	"unknown": unknown,
-	"quiet":   quiet,
+	"memory":    memory,
+	"unknown":   unknown,
+	"quiet":     quiet,
+	"announced": announced,
 }
--- a/review/_standin/peers.go
+++ b/review/_standin/peers.go
@@ -40,9 +40,13 @@
 }
 
 func newSwitch(rec *record, id uint32, cell, circuits int, answerAfter, hold func() time.Duration) *farSwitch {
-	s := &farSwitch{rec: rec, id: id, cell: cell, circuits: circuits, answerAfter: answerAfter, hold: hold, ln: listenLoopback(), legs: map[string]*leg{},
+	return newSwitchAt(rec, id, cell, circuits, answerAfter, hold, listenLoopback())
+}
+
+func newSwitchAt(rec *record, id uint32, cell, circuits int, answerAfter, hold func() time.Duration, ln net.Listener) *farSwitch {
+	s := &farSwitch{rec: rec, id: id, cell: cell, circuits: circuits, answerAfter: answerAfter, hold: hold, ln: ln, legs: map[string]*leg{},
 		seen: map[string]bool{}, releasedAt: map[string]time.Time{}}
-	go s.accept(s.ln)
+	go s.accept(ln)
 	return s
 }
 
