--- a/review/_standin/announced.go
+++ b/review/_standin/announced.go
@@ -3,24 +3,25 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"time"
 )
 
-// announced is the case of a switch that restarts while the call controller is down, with calls that are announced afterwards.
+// announced is the case of a switch that restarts while the call controller does, with calls that are announced afterwards.
+// TROUBLE=controller or TROUBLE=switch leaves the other of the two restarts out.
 func announced(rec *record, dir string, trouble bool, _ map[string]string) int {
 	const (
 		rounds     = 4
 		calls      = 6
-		diesAfter  = 300 * time.Millisecond  // after the kill of the controller
+		diesAfter  = 300 * time.Millisecond  // the process of the switch, after the kill of the controller
+		startAfter = 500 * time.Millisecond  // the new process of the controller
 		backAfter  = 800 * time.Millisecond  // the new process of the switch
-		startAfter = 1500 * time.Millisecond // the new process of the controller
+		testAfter  = 1300 * time.Millisecond // the front's next test, after which the clients come
 		toldAfter  = 2000 * time.Millisecond // after the start of the switch, the notice board tells of it
+		hold       = 6 * time.Second         // of a call that its switch releases
 		bound      = 8 * time.Second         // from the end of a call
 	)
-	hold := time.Hour
-	if !trouble {
-		hold = 6 * time.Second
-	}
+	ofController, ofSwitch := trouble && os.Getenv("TROUBLE") != "switch", trouble && os.Getenv("TROUBLE") != "controller"
 	w := &world{rec: rec}
 	var list []entry
 	for cell := 1; cell <= 4; cell++ {
@@ -47,19 +48,29 @@
 			}
 		}
 		stood += len(placed)
-		var over time.Time
-		if trouble {
-			rec.add("round %d: %d calls stand at s-%08x; the controller is killed", round+1, len(placed), w.switches[n].id)
+		began := time.Now()
+		at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
+		rec.add("round %d: %d calls stand at s-%08x", round+1, len(placed), w.switches[n].id)
+		if ofController {
+			rec.add("round %d: the controller is killed", round+1)
 			w.ctl.ending.Store(true)
 			w.ctl.cmd.Process.Kill()
 			<-w.ctl.exited
-			killed := time.Now()
-			time.Sleep(diesAfter)
-			old := w.switches[n]
+		}
+		at(diesAfter)
+		old := w.switches[n]
+		var over time.Time
+		if ofSwitch {
 			old.stop()
 			over = time.Now()
 			rec.add("round %d: the process of the switch dies, its calls are over", round+1)
-			time.Sleep(time.Until(killed.Add(backAfter)))
+		}
+		at(startAfter)
+		if ofController {
+			w.ctl.start()
+		}
+		at(backAfter)
+		if ofSwitch {
 			ln, err := net.Listen("tcp", old.ln.Addr().String())
 			if err != nil {
 				cannotRun("%v", err)
@@ -72,12 +83,20 @@
 				e := next.entry()
 				e.startedMS = started.UnixMilli()
 				w.board.publish(e)
-				rec.add("round %d: the notice board tells that it started at %s", round+1, since(rec, started))
+				rec.add("round %d: the notice board tells of the start of s-%08x %s", round+1, e.id, since(rec, started))
 			})
-			time.Sleep(time.Until(killed.Add(startAfter)))
-			w.ctl.start()
+		}
+		at(testAfter)
+		if !w.ctl.test() {
+			cannotRun("the controller fails its test")
 		}
 		for _, k := range placed { // the clients tell where their calls stand
+			k.client.mu.Lock()
+			told := !k.released.IsZero()
+			k.client.mu.Unlock()
+			if told {
+				continue
+			}
 			cl := g.conn(0)
 			if cl == nil {
 				cannotRun("no connection")
@@ -87,9 +106,6 @@
 			cl.w.send(m)
 			rec.add("round %d: call %s announced with at:s-%08x", round+1, k.id, w.switches[n].id)
 		}
-		if !trouble {
-			w.waitAlive(hold)
-		}
 		for end := time.Now().Add(bound + 2*time.Second); time.Now().Before(end) && w.ctl.alive(); { // a connection stays in use
 			w.waitAlive(2 * time.Second)
 			if k := g.send(0, (n+1)%4+1); k != nil {
@@ -100,10 +116,10 @@
 			k.client.mu.Lock()
 			released := k.released
 			k.client.mu.Unlock()
-			if !trouble {
-				w.switches[n].mu.Lock()
-				over = w.switches[n].releasedAt[k.id]
-				w.switches[n].mu.Unlock()
+			if !ofSwitch {
+				old.mu.Lock()
+				over = old.releasedAt[k.id]
+				old.mu.Unlock()
 			}
 			rec.add("round %d: call %s over %s, released towards its client %s", round+1, k.id, since(rec, over), since(rec, released))
 			if !over.IsZero() && (released.IsZero() || released.Sub(over) > bound+slack) {
--- a/review/_standin/quiet.go
+++ b/review/_standin/quiet.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// quiet is the case of clients that ask once and keep their connection, in a quiet time.
+// quiet is a client that asks once and keeps its connection, in a quiet time. It is no case of the review; REPORT.md tells of it.
 func quiet(rec *record, dir string, trouble bool, _ map[string]string) int {
 	const (
 		clients = 3
