Summary: what the controller holds on account of its peers, by kind

The log told open, standing and remembered calls only, so growth of anything else could not be told apart. The group 'held' of the summary counts timers, retained calls, copies of releases, switches, releases to switches, queued octets, and the policy's calls, rejected numbers, destinations and switches.

--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -30,6 +30,9 @@
 	heap.Push(&q.items, Item{at, kind, token, q.order})
 }
 
+// Len returns the number of items in the queue.
+func (q *Queue) Len() int { return len(q.items) }
+
 // Next returns the earliest due time, and false if the queue is empty.
 func (q *Queue) Next() (policy.Tenths, bool) {
 	if len(q.items) == 0 {
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -102,6 +102,13 @@
 	return c.closing
 }
 
+// queuedOctets returns the octets that wait to be written.
+func (c *connection) queuedOctets() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue)
+}
+
 // addCancel records a CANCEL as soon as it is read: it may wait in the inbox, and no try may begin in the meantime.
 func (c *connection) addCancel(callID string) {
 	c.mu.Lock()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -518,7 +518,26 @@
 		slog.Group("releases", "written", releases.Written, "repeated", releases.Repeated, "unanswered", releases.Unanswered, "confirmed", releases.Confirmed,
 			"late", releases.Late, "dropped", releases.Dropped, "unknown", releases.Unknown, "waiting", releases.Pending, "oldest_ms", float64(releases.OldestAge)/10),
 		slog.Group("tries", "written", tries.Written, "again", tries.Retries, "stood", tries.Answered, "refused", tries.Refused, "timed_out", tries.TimedOut,
-			"cancelled", tries.Cancelled, "lost", tries.Lost, "reset", tries.Reset, "answered_late", tries.AnsweredLate))
+			"cancelled", tries.Cancelled, "lost", tries.Lost, "reset", tries.Reset, "answered_late", tries.AnsweredLate),
+		s.heldGroup())
 	s.warningCount, s.suppressed, s.stalls = 0, 0, 0
 	clear(s.recordCounts)
 }
+
+// heldGroup returns the log attributes of what the controller holds on account of its peers.
+func (s *Server) heldGroup() slog.Attr {
+	held := s.agent.Held()
+	callerOctets, switchOctets := queuedOctets(s.callerConns), queuedOctets(s.switchConns)
+	return slog.Group("held", "timers", held.Timers, "retained_calls", held.RetainedCalls, "release_copies", held.ReleaseCopies, "switches", held.Switches,
+		"sent_releases", held.SentReleases, "caller_queue_octets", callerOctets, "switch_queue_octets", switchOctets, "policy_calls", held.Policy.Calls,
+		"rejected_numbers", held.Policy.RejectedNumbers, "destinations", held.Policy.Destinations, "policy_switches", held.Policy.Switches)
+}
+
+// queuedOctets returns the octets queued on connections.
+func queuedOctets(conns map[b2bua.ConnID]*connection) int {
+	total := 0
+	for _, conn := range conns {
+		total += conn.queuedOctets()
+	}
+	return total
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -238,6 +238,11 @@
 	c.offeredByRank, c.maxTTL = make([]decayingStats, len(revenues)), make([]Tenths, len(c.bearers))
 }
 
+// Held counts what the controller holds.
+func (c *Controller) Held() HeldCounts {
+	return HeldCounts{Calls: len(c.calls), RejectedNumbers: len(c.rejectedOrder), Destinations: len(c.traffic), Switches: len(c.remotes)}
+}
+
 // Offer routes or rejects a new call. It returns false if the deployment lacks its bearer type.
 func (c *Controller) Offer(now Tenths, request Call) bool {
 	if request.Bearer < 0 || request.Bearer >= len(c.bearers) {
