Timers of ended calls are stopped: the queue holds nothing of calls that are over

Cause: internal/due could not remove an item, so the timer of a call's deadline stayed until that deadline, up to an hour, when the call had long been refused. Timers of tries, of release rounds and of the policy stayed in the same way.

Change: due.Queue.Set returns a timer that can be stopped. A call holds its timers and stops them when its try or the call ends; a pending release stops its own. A round no longer has to be told apart from an earlier one by its time.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -100,6 +100,7 @@
 	// answerSeq is the sequence number of the answer among the writes on the caller's connection, 0 before it is
 	// written.
 	answerSeq uint64
+	timers    callTimers
 }
 
 const (
@@ -267,6 +268,10 @@
 		a.callers.setUpEnded(call.callerConnID)
 		a.bodyOctets -= len(call.body)
 		call.body = nil
+		a.stopCallTimers(call)
+	}
+	if call.state == Trying {
+		a.stopTryTimers(call)
 	}
 	switch {
 	case state == Established:
--- a/internal/b2bua/caller_release.go
+++ b/internal/b2bua/caller_release.go
@@ -39,7 +39,7 @@
 	call             *trackedCall
 	cause            int
 	receivedAt       policy.Tenths
-	nextRoundAt      policy.Tenths
+	roundTimer       *due.Timer // of the next round
 	lastCopyAt       policy.Tenths
 	rounds           int
 	copies           int           // copies in total
@@ -82,8 +82,7 @@
 		return
 	}
 	if before := a.callerReleases.byCall[call.id]; before != nil {
-		a.callerReleases.remove(before)
-		a.callers.forgetCopies(before)
+		a.removeRelease(before)
 	}
 	if len(a.callerReleases.order) >= maxCallerReleases {
 		a.dropRelease(a.callerReleases.order[0], "too many unconfirmed releases")
@@ -97,7 +96,7 @@
 // releaseRoundDue writes the next round of an unconfirmed release.
 func (a *Agent) releaseRoundDue(item due.Item) {
 	release := a.callerReleases.byCall[item.Token]
-	if release == nil || release.nextRoundAt != item.At {
+	if release == nil {
 		return
 	}
 	call := release.call
@@ -142,8 +141,8 @@
 
 // scheduleRound sets the time of the next round of a release.
 func (a *Agent) scheduleRound(release *pendingRelease, at policy.Tenths) {
-	release.nextRoundAt = at
-	a.timers.Set(at, timerReleaseRound, release.call.id)
+	a.timers.Stop(release.roundTimer)
+	release.roundTimer = a.timers.Set(at, timerReleaseRound, release.call.id)
 }
 
 // writeCopies writes a release on the first candidates.
@@ -240,6 +239,7 @@
 }
 
 func (a *Agent) removeRelease(release *pendingRelease) {
+	a.timers.Stop(release.roundTimer)
 	a.callerReleases.remove(release)
 	a.callers.forgetCopies(release)
 }
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -209,7 +209,7 @@
 	a.bodyOctets += len(call.body)
 	caller.openSetUps++
 	a.callCounts.Accepted++
-	a.timers.Set(call.deadline+answerMargin/3, timerCallDeadline, uint64(call.handle))
+	call.timers.deadline = a.timers.Set(call.deadline+answerMargin/3, timerCallDeadline, uint64(call.handle))
 	a.decider.Offer(a.now, parsed.request)
 }
 
--- a/internal/b2bua/policy_output.go
+++ b/internal/b2bua/policy_output.go
@@ -34,7 +34,7 @@
 		try.deadline = min(try.deadline, a.now+timeout)
 	}
 	a.setState(call, Trying)
-	a.timers.Set(try.deadline, timerTryTimeout, try.token())
+	a.setTryTimeout(try)
 	a.placeTry(try, remote)
 }
 
@@ -70,7 +70,7 @@
 
 // SetTimer sets a timer of the policy.
 func (p *policyOutput) SetTimer(at policy.Tenths, token uint64) {
-	(*Agent)(p).timers.Set(at, timerPolicyWake, token)
+	(*Agent)(p).setPolicyTimer(at, token)
 }
 
 // Subscribe requests the list of switches. It does nothing, as the notice board is followed all the time.
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -23,7 +23,7 @@
 func (a *Agent) placeTry(try *routeTry, remote *remoteSwitch) {
 	if a.now < try.call.nextTryAt {
 		a.advance(try, eventHold, "release time of an earlier try")
-		a.timers.Set(try.call.nextTryAt, timerHeldTry, try.token())
+		a.setHeldTry(try)
 		return
 	}
 	if link := a.pickLink(remote, a.settings.MaxTriesPerConn, try.answerAmbiguousOn); link != nil {
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -1,4 +1,4 @@
-// Package due is a timer queue without a clock: it orders items by due time, and items of equal time by insertion.
+// Package due is a timer queue without a clock: it orders timers by due time, and timers of equal time by insertion.
 package due
 
 import (
@@ -7,59 +7,95 @@
 	"indigodrift/policy"
 )
 
-// Kind identifies the action of an item. Its values belong to the queue's user.
+// Kind identifies the action of a timer. Its values belong to the queue's user.
 type Kind uint8
 
-// Item is an entry of the queue.
+// Item is a timer that has fallen due.
 type Item struct {
 	At    policy.Tenths
 	Kind  Kind
 	Token uint64
+}
+
+// Timer is a timer in a queue. Its user keeps it only in order to stop it.
+type Timer struct {
+	item  Item
 	order uint64
+	index int // in the queue, removed once it has left the queue
 }
 
-// Queue is a priority queue of items by due time. The zero value is empty.
+// removed is the index of a timer that is in no queue.
+const removed = -1
+
+// Queue is a priority queue of timers by due time. It holds only timers that are neither due nor stopped. The zero value is
+// empty.
 type Queue struct {
-	items items
-	order uint64
+	timers timers
+	order  uint64
 }
 
-// Set adds an item. Items can't be removed: the user ignores those that it no longer needs.
-func (q *Queue) Set(at policy.Tenths, kind Kind, token uint64) {
+// Set adds a timer.
+func (q *Queue) Set(at policy.Tenths, kind Kind, token uint64) *Timer {
 	q.order++
-	heap.Push(&q.items, Item{at, kind, token, q.order})
+	timer := &Timer{item: Item{At: at, Kind: kind, Token: token}, order: q.order}
+	heap.Push(&q.timers, timer)
+	return timer
 }
 
-// Len returns the number of items in the queue.
-func (q *Queue) Len() int { return len(q.items) }
+// Pending reports whether the timer is still in its queue.
+func (t *Timer) Pending() bool { return t.index != removed }
+
+// Stop removes a timer. It does nothing if the timer is nil or has left the queue already.
+func (q *Queue) Stop(timer *Timer) {
+	if timer == nil || !timer.Pending() {
+		return
+	}
+	heap.Remove(&q.timers, timer.index)
+}
+
+// Len returns the number of timers in the queue.
+func (q *Queue) Len() int { return len(q.timers) }
 
 // Next returns the earliest due time, and false if the queue is empty.
 func (q *Queue) Next() (policy.Tenths, bool) {
-	if len(q.items) == 0 {
+	if len(q.timers) == 0 {
 		return 0, false
 	}
-	return q.items[0].At, true
+	return q.timers[0].item.At, true
 }
 
-// Pop removes and returns the earliest item if it is due at now.
+// Pop removes and returns the earliest timer if it is due at now.
 func (q *Queue) Pop(now policy.Tenths) (Item, bool) {
-	if len(q.items) == 0 || q.items[0].At > now {
+	if len(q.timers) == 0 || q.timers[0].item.At > now {
 		return Item{}, false
 	}
-	return heap.Pop(&q.items).(Item), true
+	return heap.Pop(&q.timers).(*Timer).item, true
+}
+
+// timers implements heap.Interface. Each timer knows its index.
+type timers []*Timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].item.At < t[j].item.At || t[i].item.At == t[j].item.At && t[i].order < t[j].order
 }
 
-// items implements heap.Interface.
-type items []Item
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
 
-func (d items) Len() int { return len(d) }
-func (d items) Less(i, j int) bool {
-	return d[i].At < d[j].At || d[i].At == d[j].At && d[i].order < d[j].order
+func (t *timers) Push(x any) {
+	timer := x.(*Timer)
+	timer.index = len(*t)
+	*t = append(*t, timer)
 }
-func (d items) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *items) Push(x any)   { *d = append(*d, x.(Item)) }
-func (d *items) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
+
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	timer := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	timer.index = removed
+	return timer
 }
--- a/internal/due/due_test.go
+++ b/internal/due/due_test.go
@@ -38,8 +38,45 @@
 				want = want[1:]
 			}
 		}
-		if len(q.items) != 0 || len(want) != 0 {
-			t.Fatalf("%d items left in the queue, %d still expected", len(q.items), len(want))
+		if q.Len() != 0 || len(want) != 0 {
+			t.Fatalf("%d items left in the queue, %d still expected", q.Len(), len(want))
 		}
 	})
 }
+
+// Guards against a queue that keeps what its user has stopped, and against stopping another timer in its place.
+func TestStoppedTimersLeaveTheQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		var set []*Timer
+		pending := map[uint64]bool{}
+		for token := range uint64(rapid.IntRange(0, 60).Draw(t, "timers")) {
+			set = append(set, q.Set(policy.Tenths(rapid.IntRange(0, 9).Draw(t, "at")), 0, token))
+			pending[token] = true
+		}
+		for now := policy.Tenths(0); now < 10; now++ {
+			for range rapid.IntRange(0, 9).Draw(t, "stopped") {
+				if len(set) == 0 {
+					break
+				}
+				token := rapid.IntRange(0, len(set)-1).Draw(t, "token")
+				if set[token].Pending() != pending[uint64(token)] {
+					t.Fatalf("timer %d is pending: %v", token, set[token].Pending())
+				}
+				q.Stop(set[token]) // perhaps again, or after it fell due
+				delete(pending, uint64(token))
+			}
+			for item, ok := q.Pop(now); ok; item, ok = q.Pop(now) {
+				if !pending[item.Token] {
+					t.Fatalf("timer %d fell due twice or after it was stopped", item.Token)
+				}
+				delete(pending, item.Token)
+			}
+			if q.Len() != len(pending) {
+				t.Fatalf("%d timers in the queue, %d pending", q.Len(), len(pending))
+			}
+		}
+	})
+	var q Queue
+	q.Stop(nil)
+}
