Policy: numbers of rejected callers are held once, 16,384 at most

Cause: setState appended each number that was turned away to an order that was only cleared after the longest deadline, without a bound, and once more for each redial, so that one number dialled again and again grew it as well.

Change: policy/redials.go holds each number once and forgets the oldest beyond 16,384 (about 1 MB); a redial to one of these counts as a first call. At the usual load of 50 to 190 calls a second, 9 s of rejections are at most some 1,700 numbers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -164,12 +164,11 @@
 	traffic               map[int]*decayingStats // first calls offered, by destination
 	offeredByRank         []decayingStats        // offered calls, by position in the order of revenue
 	calls                 map[uint32]*activeCall
-	rejectedNumbers       map[uint64]Tenths // when a rejected caller first dialled, by number called
-	maxTTL                []Tenths          // longest time to live of a call, by bearer type
-	rejectedOrder         []uint64          // keys of rejectedNumbers, oldest first
-	maxAbandonTime        Tenths            // longest abandon time of the bearer types
-	minGoSTarget          Tenths            // shortest GoS target of the bearer types
-	turnBackRetryInterval Tenths            // retry interval after a turn-back
+	rejected              rejectedNumbers
+	maxTTL                []Tenths // longest time to live of a call, by bearer type
+	maxAbandonTime        Tenths   // longest abandon time of the bearer types
+	minGoSTarget          Tenths   // shortest GoS target of the bearer types
+	turnBackRetryInterval Tenths   // retry interval after a turn-back
 	subscribeDelay        Tenths
 	disconnects           decayingStats
 	tandemSelections      decayingStats // random selections of a tandem: 1 for success, 0 for a turn-back
@@ -189,17 +188,17 @@
 // New returns a controller whose process starts now.
 func New(deployment Deployment, executor Executor, now Tenths) *Controller {
 	c := &Controller{
-		deployment:      deployment,
-		executor:        executor,
-		randomState:     deployment.Seed%0xfffffffe + 1,
-		startTime:       now,
-		byID:            map[uint32]int{},
-		serving:         map[int]int{},
-		lastTandem:      map[int]int{},
-		traffic:         map[int]*decayingStats{},
-		calls:           map[uint32]*activeCall{},
-		rejectedNumbers: map[uint64]Tenths{},
-		loggedAt:        map[string]Tenths{},
+		deployment:  deployment,
+		executor:    executor,
+		randomState: deployment.Seed%0xfffffffe + 1,
+		startTime:   now,
+		byID:        map[uint32]int{},
+		serving:     map[int]int{},
+		lastTandem:  map[int]int{},
+		traffic:     map[int]*decayingStats{},
+		calls:       map[uint32]*activeCall{},
+		rejected:    newRejectedNumbers(),
+		loggedAt:    map[string]Tenths{},
 	}
 	c.rankBearers()
 	if deployment.MustSubscribe {
@@ -238,11 +237,6 @@
 	c.offeredByRank, c.maxTTL = make([]decayingStats, len(revenues)), make([]Tenths, len(c.bearers))
 }
 
-// Held counts what the controller holds.
-func (c *Controller) Held() HeldCounts {
-	return HeldCounts{Calls: len(c.calls), RejectedNumbers: len(c.rejectedOrder), Destinations: len(c.traffic), Switches: len(c.remotes)}
-}
-
 // Offer routes or rejects a new call. It returns false if the deployment lacks its bearer type.
 func (c *Controller) Offer(now Tenths, request Call) bool {
 	if request.Bearer < 0 || request.Bearer >= len(c.bearers) {
@@ -283,11 +277,8 @@
 		call.gosDeadline = now + c.bearers[call.request.Bearer].gosTarget
 		return
 	}
-	for len(c.rejectedOrder) > 0 && now-c.rejectedNumbers[c.rejectedOrder[0]] > c.maxAbandonTime {
-		delete(c.rejectedNumbers, c.rejectedOrder[0])
-		c.rejectedOrder = c.rejectedOrder[1:]
-	}
-	first, repeated := c.rejectedNumbers[call.request.Number]
+	c.rejected.expire(now, c.maxAbandonTime)
+	first, repeated := c.rejected.firstDialledAt[call.request.Number]
 	if repeated {
 		call.repeated, call.firstDialledAt = true, first
 		deadline := first + c.bearers[call.request.Bearer].gosTarget
@@ -659,8 +650,7 @@
 	if next == ended {
 		delete(c.calls, call.request.ID)
 		if call.state != established && !call.request.Transit && call.request.Number != 0 {
-			c.rejectedNumbers[call.request.Number] = call.firstDialledAt
-			c.rejectedOrder = append(c.rejectedOrder, call.request.Number)
+			c.rejected.add(call.request.Number, call.firstDialledAt)
 		}
 	}
 	call.state = next
--- a/policy/types.go
+++ b/policy/types.go
@@ -100,11 +100,3 @@
 	Subscribe()                                          // subscribes to the list of switches
 	Log(text string)                                     // writes a log line for operators
 }
-
-// HeldCounts counts what a Controller holds, for the log.
-type HeldCounts struct {
-	Calls           int // calls that have not ended
-	RejectedNumbers int // numbers called by rejected callers
-	Destinations    int // destinations with a count of their traffic
-	Switches        int // switches that were listed
-}
