Calls that are over, established or announced are held within shares of the memory limit

A call that is over was held for 10 s with its id, URI and class, which are parts of the string of the whole header: up to 16 KiB each for 16,384 calls. TestLongHeadersAreNotRetained: 66,656,056 octets held after 4,000 set-ups before, under 8 MB now. Ids and URIs are copied, the class is the one of the settings, and a URI over 256 octets is refused with 400. 2. Calls that no switch knows displaced those that a switch may still answer or release; their number was only looked at every 25 ms. They have a queue of their own now, and both queues are bounded as each call is added (TestTurnedAwayCallsDisplaceNoCallKnownToASwitch: 49,153 retained before, and the late answer's call was left standing at its switch). 3. Calls announced with 'at' at a listed switch are held until a release comes, which never comes for an id that the switch doesn't know. They have a limit of their own; when it is reached the connection with the most announcements loses its oldest (TestAnnouncedCallsOfOneClientDisplaceNoOthers). They take no room from set-ups (TestAnnouncedCallsTakeNoRoomFromSetUps).

Established calls have a limit as well, beyond which set-ups are refused with 503. All limits follow from memory_mb: at 64 MB 32,768 established, 8,192 announced, 8,192 over and known to a switch, 4,096 turned away. Ids of CANCELs that wait for the event loop are copied and no longer than the id of a call.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -88,9 +88,12 @@
 	bearerType   string
 	cseq         uint32 // of the caller's set-up
 	body         []byte // the caller's session description, until the call is established
+	foreign      bool   // not set up here: a switch released it, but this process does not know it
 	deadline     policy.Tenths
 	tries        []*routeTry // in the order of their numbers; an adopted call has only the one that established it
 	adopted      bool
+	confirmed    bool       // a switch has shown that it knows the adopted call
+	announcement *fairEntry // place of an adopted call among those announced, nil once it is over
 	// nextTryAt is the earliest time of the next try. After an answer to an abandoned try the release time counts
 	// from that answer.
 	nextTryAt      policy.Tenths
@@ -107,9 +110,7 @@
 	// answerMargin is reserved for the transit of the final answer to the caller.
 	answerMargin = policy.Tenths(150)
 
-	endedRetention      = policy.Tenths(100000) // how long ended calls are retained
-	maxRetainedCalls    = 16384                 // and how many of them
-	maintenanceInterval = policy.Tenths(250)    // how often connections are checked
+	maintenanceInterval = policy.Tenths(250) // how often connections are checked
 )
 
 const (
@@ -145,8 +146,10 @@
 	silence          silenceClock
 	calls            map[uint64]*trackedCall
 	byHandle         map[uint32]*trackedCall
-	ended            []*trackedCall // oldest first
-	openCalls        int            // calls that are neither established nor ended
+	retained         retainedCalls
+	limits           callLimits
+	announced        fairQueue[*trackedCall] // established calls that callers announced, within their limit
+	openCalls        int                     // calls that are neither established nor ended
 	establishedCalls int
 	bodyOctets       int // octets of session descriptions
 	maxOpenCalls     int
@@ -177,7 +180,7 @@
 func New(settings deployment.Settings, bounds Bounds, transport Transport, now policy.Tenths,
 	build func(policy.Deployment, policy.Executor, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{settings: settings, transport: transport, now: now, calls: map[uint64]*trackedCall{}, byHandle: map[uint32]*trackedCall{},
-		maxOpenCalls: bounds.Calls, maxBodyOctets: bounds.Octets, maxLinks: bounds.Links, switches: map[uint32]*remoteSwitch{}, switchOfLink: map[ConnID]uint32{}, closingLinks: map[ConnID]uint32{}, dialAddresses: map[uint32]string{},
+		limits: bounds.callLimits(), announced: newFairQueue[*trackedCall](bounds.callLimits().announced), retained: newRetainedCalls(bounds.callLimits()), maxOpenCalls: bounds.Calls, maxBodyOctets: bounds.Octets, maxLinks: bounds.Links, switches: map[uint32]*remoteSwitch{}, switchOfLink: map[ConnID]uint32{}, closingLinks: map[ConnID]uint32{}, dialAddresses: map[uint32]string{},
 		callers: newCallerConns(bounds.Callers), silence: silenceClock{lastTickAt: now}, callerReleases: releaseQueue{byCall: map[uint64]*pendingRelease{}}, maintenanceAt: now + maintenanceInterval, lastKeepaliveID: settings.Policy.Seed}
 	a.decider = build(settings.Policy, (*policyOutput)(a), now)
 	return a
@@ -283,31 +286,13 @@
 	a.transport.Record(Record{Kind: CallState, CallID: call.callID, Conn: call.callerConnID, Switch: call.lastSwitch(), From: call.state, To: state})
 	call.state = state
 	if state == Ended {
+		a.forgetAnnouncement(call)
 		delete(a.byHandle, call.handle)
 		a.retain(call)
 	}
 	a.releaseOrphanedTries(call)
 }
 
-// retain keeps an ended call for a while, since late messages may refer to it.
-func (a *Agent) retain(call *trackedCall) {
-	call.endedAt = a.now
-	a.calls[call.id] = call
-	a.ended = append(a.ended, call)
-}
-
-// purgeEnded drops calls whose retention has expired, and the oldest ones beyond the limit.
-func (a *Agent) purgeEnded() {
-	n := 0
-	for n < len(a.ended) && (a.now-a.ended[n].endedAt > endedRetention || len(a.ended)-n > maxRetainedCalls) {
-		delete(a.calls, a.ended[n].id)
-		n++
-	}
-	if n > 0 {
-		a.ended = slices.Delete(a.ended, 0, n)
-	}
-}
-
 // matchingCalls returns the calls that match, sorted by handle and then id, so that the map's iteration order has no
 // effect.
 func (a *Agent) matchingCalls(match func(*trackedCall) bool) []*trackedCall {
@@ -466,5 +451,5 @@
 // the number of callers' connections, and the maximum lateness of a timer since the previous call.
 func (a *Agent) Counts() (counts CallCounts, openCalls, establishedCalls, retained, callers int, lateness policy.Tenths) {
 	lateness, a.maxLateness = a.maxLateness, 0
-	return a.callCounts, a.openCalls, a.establishedCalls, len(a.ended), len(a.callers.conns), lateness
+	return a.callCounts, a.openCalls, a.establishedCalls, a.retained.len(), len(a.callers.conns), lateness
 }
--- a/internal/b2bua/b2bua_test.go
+++ b/internal/b2bua/b2bua_test.go
@@ -499,7 +499,7 @@
 		h.disconnectCaller(conn)
 	}
 	h.advanceTime(endedRetention + 2*maintenanceInterval)
-	if len(h.agent.calls)+len(h.agent.byHandle)+len(h.agent.ended)+len(h.agent.callers.conns)+len(h.agent.callers.order)+h.agent.openCalls+h.agent.bodyOctets != 0 {
+	if len(h.agent.calls)+len(h.agent.byHandle)+h.agent.retained.len()+len(h.agent.callers.conns)+len(h.agent.callers.order)+h.agent.openCalls+h.agent.bodyOctets != 0 {
 		t.Errorf("%d calls, %d connections, %d open, %d octets retained", len(h.agent.calls), len(h.agent.callers.conns), h.agent.openCalls, h.agent.bodyOctets)
 	}
 }
--- /dev/null
+++ b/internal/b2bua/bounded_state_test.go
@@ -0,0 +1,144 @@
+package b2bua
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"indigodrift/internal/sip"
+)
+
+const unknownExchange = 900
+
+// newSmallHarness creates an agent with the smallest limits of what it holds.
+func newSmallHarness(t *testing.T) *harness {
+	h := newHarnessWithBounds(t, Bounds{Calls: 50, Octets: 1 << 16, Callers: 20, Links: 12, Memory: 1})
+	h.completeDials(2000, 2000)
+	return h
+}
+
+// heapOctets returns the octets of the live heap.
+func heapOctets() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// announcement returns a set-up of a call that is established at a switch.
+func announcement(id string, switchID uint32) *sip.Message {
+	return invite(id, "voice", 3000, fmt.Sprintf("dest:1;width:1;via:-1;at:s-%08x", switchID), "")
+}
+
+// Guards against calls that are over holding the whole header of their set-up, of which id and URI are parts.
+func TestLongHeadersAreNotRetained(t *testing.T) {
+	h := newHarness(t)
+	h.completeDials(9, 9)
+	conn := h.connectCaller()
+	const calls, headerOctets, allowedPerCall = 4000, 14 << 10, 2 << 10
+	before := heapOctets()
+	for n := range calls {
+		text := sip.Append(nil, invite(idOf(0x10000+n), "voice", 1500, fmt.Sprintf("dest:%d;width:1;via:-1", unknownExchange), ""))
+		padding := "\r\nX-Padding: " + strings.Repeat("x", headerOctets) + "\r\nContent-Length"
+		msg, err := sip.NewReader(strings.NewReader(strings.Replace(string(text), "\r\nContent-Length", padding, 1))).Read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.agent.FromCaller(h.now, h.now, conn, &msg)
+	}
+	h.sentMessages, h.records, h.unacknowledgedAnswers = nil, nil, nil // what the harness holds
+	if held := heapOctets() - before; held > calls*allowedPerCall {
+		t.Errorf("%d octets held after %d calls, %d a call", held, calls, held/calls)
+	}
+	runtime.KeepAlive(h)
+}
+
+// Guards against a set-up whose URI alone would be held at the length of a whole message.
+func TestOverlongURIIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.completeDials(9, 9)
+	msg := invite(idOf(1), "voice", 1500, "dest:1;width:1;via:-1", "")
+	msg.URI += strings.Repeat("x", maxURIOctets)
+	conn := h.connectCaller()
+	h.agent.FromCaller(h.now, h.now, conn, msg)
+	if got := h.sentTo(conn); got != "400" {
+		t.Errorf("answered %q", got)
+	}
+}
+
+// Guards against clients that are turned away at full speed making the agent forget a call that a switch may still
+// answer: it would stay established there.
+func TestTurnedAwayCallsDisplaceNoCallKnownToASwitch(t *testing.T) {
+	h := newSmallHarness(t)
+	conn, flooder := h.connectCaller(), h.connectCaller()
+	call := h.sendSetUp(conn, 1, 1000)
+	link, try := call.tryConn, call.trySeq
+	call.abandoned = true
+	h.agent.FromCaller(h.now, h.now, conn, &sip.Message{Method: sip.Cancel, URI: "sip:x@net", CallID: call.id, CSeq: 1})
+	for range 3 * minLimitOfHeldEntries {
+		h.sendSetUp(flooder, unknownExchange, 1000)
+	}
+	h.advanceTime(maintenanceInterval)
+	h.sentMessages = nil
+	late := sip.Message{Status: sip.OK, CallID: call.id, CSeq: try, CSeqMethod: sip.Invite, Body: []byte("late")}
+	call.establishedAt, call.callerEnded = 1, true
+	h.agent.FromSwitch(h.now, link, &late)
+	if got := h.sentTo(link); got != "ACK BYE" {
+		t.Errorf("the switch that answered late got %q", got)
+	}
+	if held := h.agent.Held(); held.RetainedCalls > 2*minLimitOfHeldEntries {
+		t.Errorf("held %+v", held)
+	}
+}
+
+// Guards against a client that announces calls without end: they have a limit, and they displace each other, not the
+// calls that another caller announced.
+func TestAnnouncedCallsOfOneClientDisplaceNoOthers(t *testing.T) {
+	h := newSmallHarness(t)
+	usual, flooder := h.connectCaller(), h.connectCaller()
+	const usualCalls = 20
+	announce := func(conn ConnID, from, count int) {
+		for n := range count {
+			h.agent.FromCaller(h.now, h.now, conn, announcement(idOf(from+n), 1))
+		}
+	}
+	announce(usual, 0x10000, usualCalls/2)
+	announce(flooder, 0x20000, 10*minLimitOfHeldEntries)
+	announce(usual, 0x10000+usualCalls/2, usualCalls/2)
+	if h.agent.announced.length > minLimitOfHeldEntries || h.agent.establishedCalls != h.agent.announced.length {
+		t.Fatalf("%d announced calls, %d established", h.agent.announced.length, h.agent.establishedCalls)
+	}
+	for n := range usualCalls {
+		if call := h.agent.calls[0x10000+uint64(n)]; call == nil || call.state != Established {
+			t.Fatalf("call %d of the usual caller is %+v", n, call)
+		}
+	}
+	if got := h.sentTo(usual); strings.Contains(got, "BYE") {
+		t.Errorf("the usual caller got %q", got)
+	}
+	for n := range usualCalls { // they end at their switch
+		h.agent.FromSwitch(h.now, h.mustLinkTo(1), h.newRelease(idOf(0x10000+n), 16))
+	}
+	if h.agent.announced.origins[usual] != nil {
+		t.Error("calls that are over are still listed as announced")
+	}
+}
+
+// Guards against announced calls that use up the limit of established calls, so that set-ups are refused.
+func TestAnnouncedCallsTakeNoRoomFromSetUps(t *testing.T) {
+	h := newSmallHarness(t)
+	conn := h.connectCaller()
+	for n := range 2 * minLimitOfHeldEntries {
+		h.agent.FromCaller(h.now, h.now, conn, announcement(idOf(0x20000+n), 2))
+	}
+	for range minLimitOfHeldEntries {
+		h.answer(h.sendSetUp(conn, 1, 1000), sip.OK)
+	}
+	if call := h.sendSetUp(conn, 1, 1000); call.answers != 1 || call.tryConn != 0 {
+		t.Errorf("a set-up beyond the limit of established calls: %+v", call)
+	}
+	if h.agent.callCounts.Established != minLimitOfHeldEntries {
+		t.Errorf("%d calls established", h.agent.callCounts.Established)
+	}
+}
--- a/internal/b2bua/bounds.go
+++ b/internal/b2bua/bounds.go
@@ -6,6 +6,37 @@
 	Octets  int // of session descriptions
 	Callers int // connections of callers
 	Links   int // connections to switches, dials included
+	Memory  int // octets that the process may use, defaultMemory if 0; it sets the limits of what is held beyond open calls
+}
+
+// defaultMemory is the memory limit of a process if none is given.
+const defaultMemory = 64 << 20
+
+// Octets of the memory limit for each entry that may be held. docs/bounds.md lists what an entry takes at most.
+const (
+	octetsPerEstablished  = 2 << 10
+	octetsPerAnnounced    = 8 << 10
+	octetsPerRetained     = 8 << 10
+	octetsPerTurnedAway   = 16 << 10
+	minLimitOfHeldEntries = 256
+)
+
+// callLimits limits the calls that are held although none of their callers waits for an answer.
+type callLimits struct {
+	established int // answered by a switch; further set-ups are refused
+	announced   int // announced by callers as established, but not set up here
+	retained    int // over, and known to a switch
+	turnedAway  int // over, and known to no switch
+}
+
+// callLimits returns the limits for the memory of the process.
+func (b Bounds) callLimits() callLimits {
+	memory := b.Memory
+	if memory == 0 {
+		memory = defaultMemory
+	}
+	limit := func(octetsPerEntry int) int { return max(minLimitOfHeldEntries, memory/octetsPerEntry) }
+	return callLimits{established: limit(octetsPerEstablished), announced: limit(octetsPerAnnounced), retained: limit(octetsPerRetained), turnedAway: limit(octetsPerTurnedAway)}
 }
 
 // MaxClosing is how many connections of each kind may be closing in addition to those that are held.
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"indigodrift/internal/sip"
 	"indigodrift/policy"
@@ -184,7 +185,8 @@
 		return
 	}
 	a.markSetUpSeen(caller)
-	call := &trackedCall{id: parsed.id, callerConnID: caller.conn, callID: msg.CallID, uri: msg.URI, bearerType: msg.Get(fieldClass), cseq: msg.CSeq, body: msg.Body,
+	call := &trackedCall{id: parsed.id, callerConnID: caller.conn, callID: strings.Clone(msg.CallID), uri: strings.Clone(msg.URI),
+		bearerType: a.settings.BearerNames[parsed.request.Bearer], cseq: msg.CSeq, body: msg.Body,
 		deadline: receivedAt + parsed.request.TTL - answerMargin}
 	if a.transport.Abandoned(call.callerConnID, call.callID) { // the CANCEL or the end of the connection follows
 		call.body, call.state = nil, Ended
@@ -192,7 +194,7 @@
 		a.callCounts.Abandoned++
 		return
 	}
-	if a.openCalls >= a.maxOpenCalls || a.bodyOctets+len(call.body) > a.maxBodyOctets { // limit reached
+	if a.atCallLimit(call) {
 		refusal := msg.Response(sip.ServiceUnavailable)
 		a.transport.Write(caller.conn, &refusal)
 		a.callCounts.Blocked++
@@ -213,6 +215,11 @@
 	a.decider.Offer(a.now, parsed.request)
 }
 
+// atCallLimit reports whether one more call would exceed a limit.
+func (a *Agent) atCallLimit(call *trackedCall) bool {
+	return a.openCalls >= a.maxOpenCalls || a.bodyOctets+len(call.body) > a.maxBodyOctets || a.openCalls+a.establishedCalls-a.announced.length >= a.limits.established
+}
+
 // markSetUpSeen marks a connection on which a set-up came, and writes the releases that wait for such a connection.
 func (a *Agent) markSetUpSeen(caller *callerConn) {
 	if caller.setUpSeen {
@@ -222,30 +229,6 @@
 	a.offerReleases(caller)
 }
 
-// adoptCall handles a set-up of a call that is established at a switch already. The call is tracked from now on, and
-// no answer is sent.
-func (a *Agent) adoptCall(caller *callerConn, parsed setUp, msg *sip.Message) {
-	a.markSetUpSeen(caller)
-	if call := a.calls[parsed.id]; call != nil {
-		if call.state == Ended { // the caller may not have received the release
-			call.callerNotified = false
-			a.releaseCaller(call, causeTemporaryFailure)
-		}
-		return
-	}
-	call := &trackedCall{id: parsed.id, state: Established, callerConnID: caller.conn, callID: msg.CallID, uri: msg.URI, adopted: true, establishedAt: a.now}
-	call.tries = []*routeTry{{call: call, switchID: parsed.adoptedSwitch, state: tryEstablished}}
-	a.calls[call.id] = call
-	a.establishedCalls++
-	if remote := a.switches[parsed.adoptedSwitch]; remote != nil && remote.nextRecoveryAt == 0 {
-		remote.nextRecoveryAt = a.now + recoveryInterval
-	}
-	if a.switches[parsed.adoptedSwitch] == nil || a.establishedCalls > maxRetainedCalls {
-		a.releaseCaller(call, causeTemporaryFailure)
-		a.setState(call, Ended)
-	}
-}
-
 // handleCancel handles a caller's CANCEL.
 func (a *Agent) handleCancel(conn ConnID, msg *sip.Message) {
 	id, err := parseID(msg.CallID)
--- a/internal/b2bua/held.go
+++ b/internal/b2bua/held.go
@@ -14,7 +14,7 @@
 
 // Held counts what the agent holds.
 func (a *Agent) Held() HeldCounts {
-	held := HeldCounts{Timers: a.timers.Len(), RetainedCalls: len(a.ended), Switches: len(a.switches)}
+	held := HeldCounts{Timers: a.timers.Len(), RetainedCalls: a.retained.len(), Switches: len(a.switches)}
 	for _, caller := range a.callers.conns {
 		held.ReleaseCopies += len(caller.copies)
 	}
--- a/internal/b2bua/held_test.go
+++ b/internal/b2bua/held_test.go
@@ -24,7 +24,6 @@
 	h.completeDials(9, 9)
 	conn := h.connectCaller()
 	for range 1000 {
-		const unknownExchange = 900
 		if call := h.sendSetUp(conn, unknownExchange, maxExpiresMS); call.answers != 1 {
 			t.Fatalf("%d answers", call.answers)
 		}
--- a/internal/b2bua/parse.go
+++ b/internal/b2bua/parse.go
@@ -24,6 +24,7 @@
 	fieldLoad             = "P-Load"
 	fieldReason           = "Reason"
 	idDigits              = 16
+	maxURIOctets          = 256       // of a set-up; the URI is held as long as its call
 	maxExpiresMS          = 3_600_000 // an hour; no caller waits longer
 	maxCount              = 1 << 16   // exchanges and circuits are counted in two octets
 	causeNormal           = 16        // Q.850: normal call clearing
@@ -61,6 +62,9 @@
 	if parsed.id, err = parseID(msg.CallID); err != nil {
 		return parsed, err
 	}
+	if len(msg.URI) > maxURIOctets {
+		return parsed, setUpError("request URI of %d octets", len(msg.URI))
+	}
 	if parsed.request.Number, err = parseID(msg.User()); err != nil {
 		return parsed, fmt.Errorf("called number: %w", err)
 	}
@@ -121,6 +125,14 @@
 	return parsed, nil
 }
 
+// boundedURI returns a copy of a request's URI, a short one in its place if it is too long to be held.
+func boundedURI(msg *sip.Message) string {
+	if len(msg.URI) > maxURIOctets {
+		return "sip:call@net"
+	}
+	return strings.Clone(msg.URI)
+}
+
 // loadNames maps the names of load values on the wire to those in the settings.
 var loadNames = map[string]string{"x0": "free", "x1": "size", "eps": "hold_back", "latency_ms": "avg_ms"}
 
--- a/internal/b2bua/route_try.go
+++ b/internal/b2bua/route_try.go
@@ -104,6 +104,11 @@
 	return 0
 }
 
+// knownToSwitch reports whether any switch may know the call from this process, or has released it.
+func (tc *trackedCall) knownToSwitch() bool {
+	return tc.foreign || slices.ContainsFunc(tc.tries, func(try *routeTry) bool { return try.conn != 0 })
+}
+
 // isEstablishedAt reports whether a call is established at a switch.
 func (tc *trackedCall) isEstablishedAt(switchID uint32) bool {
 	return tc.state == Established && tc.lastSwitch() == switchID
--- a/internal/b2bua/switch_release.go
+++ b/internal/b2bua/switch_release.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 
 	"indigodrift/internal/sip"
 	"indigodrift/policy"
@@ -36,7 +37,7 @@
 	case call == nil: // established before this process started: its caller must be released all the same
 		a.releaseCounts.Unknown++
 		a.transport.Record(Record{Kind: ReleaseUnknown, CallID: msg.CallID, Switch: remote.entry.ID, Cause: cause})
-		call = &trackedCall{id: id, callID: msg.CallID, uri: msg.URI, state: Ended}
+		call = &trackedCall{id: id, callID: strings.Clone(msg.CallID), uri: boundedURI(msg), state: Ended, foreign: true}
 		a.retain(call)
 		a.releaseCaller(call, cause)
 	// The earlier tries of an adopted call are not known, so it may have reached any switch.
@@ -60,6 +61,7 @@
 // released too.
 func (a *Agent) handleEstablishedRelease(call *trackedCall, remote *remoteSwitch, cause int, report policy.LoadReport) {
 	report = a.reportFor(remote, call, report)
+	call.confirmed = true
 	a.releaseCaller(call, cause)
 	if call.lastSwitch() != remote.entry.ID || call.earlierTryMayBeReleased(remote.entry.ID) {
 		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, a.newRelease(call.callID, call.uri, causeNormal))
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	lingerTimeout = 100 * time.Millisecond
 
 	maxUnhandledCancels = 1024 // CANCELs read on one connection and not yet handled by the event loop
+	maxCancelIDSize     = 16   // octets of a call's id
 )
 
 // connection is a connection to a caller or switch with its write queue. Queueing never blocks: a peer that reads too slowly
@@ -113,11 +115,14 @@
 func (c *connection) addCancel(callID string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(callID) > maxCancelIDSize { // no call has such an id
+		return
+	}
 	if c.unhandledCancels == nil {
 		c.unhandledCancels = map[string]struct{}{}
 	}
 	if len(c.unhandledCancels) < maxUnhandledCancels {
-		c.unhandledCancels[callID] = struct{}{}
+		c.unhandledCancels[strings.Clone(callID)] = struct{}{}
 	}
 }
 
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -122,7 +122,7 @@
 		switchConns: map[b2bua.ConnID]*connection{}, openConns: map[*connection]struct{}{}, boardAddresses: make(chan string, 1), listenerClosed: make(chan struct{}), recordCounts: map[b2bua.RecordKind]int{}}
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
 	memory := config.Limits.MemoryMB << 20
-	bounds := b2bua.Bounds{Calls: memory / maxOctetsPerCall, Octets: memory / descriptionMemoryDivisor, Callers: maxCallers, Links: maxLinks}
+	bounds := b2bua.Bounds{Calls: memory / maxOctetsPerCall, Octets: memory / descriptionMemoryDivisor, Callers: maxCallers, Links: maxLinks, Memory: memory}
 	if maxOpen := config.Settings.MaxOpenCalls; maxOpen > 0 {
 		bounds.Calls = min(bounds.Calls, maxOpen)
 	}
