Policy: state for unserved destinations and for switches that are gone is bounded

Change: destinations that no switch serves have 1,024 places in addition to those served; tandems and turn-backs are remembered for counted destinations alone. Beyond 1,024 switches the place of one that is out of service and has no calls is used again. The code is in policy/state.go, as it holds no decision.

Tests: TestStateForUnservedDestinationsIsBounded (4,096 destinations held before) and TestPlacesOfSwitchesThatAreGoneAreUsedAgain (3,075 switches held before).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -253,11 +253,8 @@
 	c.classifyRedial(now, call)
 	if !request.Transit {
 		c.offeredByRank[c.rank(call)].add(now, trafficHalfLife, 1)
-		if c.traffic[request.Dest] == nil {
-			c.traffic[request.Dest] = &decayingStats{}
-		}
-		if !call.repeated {
-			c.traffic[request.Dest].add(now, trafficHalfLife, 1)
+		if traffic := c.trafficTo(request.Dest); traffic != nil && !call.repeated {
+			traffic.add(now, trafficHalfLife, 1)
 		}
 	}
 	c.route(now, call)
@@ -331,7 +328,7 @@
 			}
 		}
 		if ok {
-			c.lastTandem[call.request.Dest] = tandem
+			c.rememberTandem(call.request.Dest, tandem)
 			if c.send(now, call, tandem, c.tryTimeout(now, call, tandem)) {
 				return
 			}
@@ -771,7 +768,7 @@
 		}
 		if call.viaTandem {
 			delete(c.lastTandem, call.request.Dest)
-			remote.turnedBackAt[call.request.Dest] = now
+			c.recordTurnBack(now, remote, call.request.Dest)
 			if call.randomTandem {
 				c.tandemSelections.add(now, trafficHalfLife, 0)
 			}
@@ -871,9 +868,7 @@
 func (c *Controller) ListReceived(now Tenths, whole bool, list []Switch) {
 	c.subscribeDelay = 0
 	if whole {
-		for i := range c.remotes {
-			c.remotes[i].ready = false
-		}
+		c.withdrawUnlisted(list)
 	}
 	for _, sw := range list {
 		remote := &c.remotes[c.remoteIndex(sw.ID)]
@@ -893,17 +888,6 @@
 	}
 }
 
-// remoteIndex returns the index of a remote switch in remotes and adds the switch if it is unknown.
-func (c *Controller) remoteIndex(id uint32) int {
-	i, ok := c.byID[id]
-	if !ok {
-		i = len(c.remotes)
-		c.remotes = append(c.remotes, remoteSwitch{id: id, number: -1, turnedBackAt: map[int]Tenths{}})
-		c.byID[id] = i
-	}
-	return i
-}
-
 // random returns a random number in [0, 1) from a multiply-with-carry generator.
 func (c *Controller) random() float64 {
 	c.randomState = 4294957665*(c.randomState&0xffffffff) + c.randomState>>32
