Policy: a time to live out of range is no measure of how long other calls have waited

The longest time to live seen tells how long a call waited in a stall of the controller. A caller who sends Expires-Ms 3600000 made every call after a stall count as having waited through all of it, and so as a late redial, which is turned away first. The time to live now counts up to the abandon time of its bearer type.

TestExcessiveTimeToLiveOfOneCallIsNoMeasureOfOthers failed before: block instead of a try.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -243,9 +243,10 @@
 		return false
 	}
 	c.detectStall(now)
-	waited := Tenths(0) // calls that arrived during a stall come at its end; the missing time to live is the time waited
-	if c.maxTTL[request.Bearer] = max(c.maxTTL[request.Bearer], request.TTL); c.stallEndedAt == now && !request.Transit {
-		waited = min(c.stallDuration, c.maxTTL[request.Bearer]-request.TTL)
+	waited := Tenths(0)                                                       // calls that arrived during a stall come at its end; the missing time to live is the time waited
+	ttl := min(request.TTL, c.deployment.Bearers[request.Bearer].AbandonTime) // a longer one is no measure of others
+	if c.maxTTL[request.Bearer] = max(c.maxTTL[request.Bearer], ttl); c.stallEndedAt == now && !request.Transit {
+		waited = min(c.stallDuration, c.maxTTL[request.Bearer]-ttl)
 	}
 	call := &activeCall{request: request, firstDialledAt: now - waited, abandonAt: now + request.TTL}
 	call.gosDeadline = call.firstDialledAt + c.bearers[request.Bearer].gosTarget
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -537,3 +537,21 @@
 		}
 	})
 }
+
+// Guards against a caller with a time to live out of range, by which every call that arrives during a stall would count
+// as having waited since its beginning and be turned away.
+func TestExcessiveTimeToLiveOfOneCallIsNoMeasureOfOthers(t *testing.T) {
+	h := newMesh(2, 50)
+	longestTTL := h.deployment.Bearers[0].AbandonTime
+	expectAction(t, h, h.offer(newCall(1, 0, 1)), "send 101")
+	h.answerTry(1)
+	excessive := newCall(2, 0, 1)
+	excessive.TTL = 36_000_000
+	h.offer(excessive)
+	h.answerTry(2)
+	h.now += 25000 // the controller stalls
+	h.reportGroup(101, 4, 50)
+	fresh := newCall(3, 0, 1)
+	fresh.TTL = longestTTL
+	expectAction(t, h, h.offer(fresh), "send 101")
+}
