A call has 128 tries at most, and calls that are over have a common bound of tries

From the list of what a peer can make grow: without max_attempts a call could have any number of tries, one each release time, and each is held for 10 s after the call's end. 128 is the limit now, also where the settings give a higher one, and queues of calls that are over count their tries as well as the calls. The test of the settings' defaults asks for 100 at least, and passes unchanged.

--- a/internal/b2bua/retention.go
+++ b/internal/b2bua/retention.go
@@ -9,21 +9,28 @@
 type callQueue struct {
 	calls []*trackedCall
 	limit int
+	tries int // of these calls
 }
 
-// add adds a call. If the queue is full, it removes and returns the oldest one.
-func (q *callQueue) add(call *trackedCall) (removed *trackedCall) {
-	if len(q.calls) >= q.limit {
-		removed = q.removeOldest()
-	}
+// maxTriesPerRetained is how many tries calls that are over may have on average, if their queue is full.
+const maxTriesPerRetained = 4
+
+// add adds a call.
+func (q *callQueue) add(call *trackedCall) {
 	q.calls = append(q.calls, call)
-	return removed
+	q.tries += len(call.tries)
+}
+
+// overfull reports whether the oldest call must be removed.
+func (q *callQueue) overfull() bool {
+	return len(q.calls) > q.limit || len(q.calls) > 1 && q.tries > q.limit*maxTriesPerRetained
 }
 
 func (q *callQueue) removeOldest() *trackedCall {
 	oldest := q.calls[0]
 	q.calls[0] = nil
 	q.calls = q.calls[1:]
+	q.tries -= len(oldest.tries)
 	return oldest
 }
 
@@ -49,7 +56,10 @@
 	if call.knownToSwitch() {
 		queue = &a.retained.knownToSwitch
 	}
-	a.forget(queue.add(call))
+	queue.add(call)
+	for queue.overfull() {
+		a.forget(queue.removeOldest())
+	}
 }
 
 // purgeEnded forgets the calls whose retention has expired.
@@ -63,7 +73,7 @@
 
 // forget forgets a retained call, unless its id has been used again since.
 func (a *Agent) forget(call *trackedCall) {
-	if call != nil && a.calls[call.id] == call {
+	if a.calls[call.id] == call {
 		delete(a.calls, call.id)
 	}
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -77,6 +77,7 @@
 
 const (
 	maxCount = 1 << 31
+	maxTries = 128  // of one call: its tries are held until it is forgotten
 	maxSpan  = 1e12 // ms, about 30 years; sums of several spans can't overflow
 )
 
@@ -123,8 +124,8 @@
 
 const minSpan = 0.1 // ms, the resolution of policy.Tenths
 
-// Parse parses a settings object. It doesn't set the seed. Defaults for absent keys: without max_attempts the tries are limited
-// by time only; without tip_multiple, tip_after or ramp_time no switch counts as cold; without replicas_of_me one call
+// Parse parses a settings object. It doesn't set the seed. Defaults for absent keys: without max_attempts, or with a higher
+// figure, a call has 128 tries at most; without tip_multiple, tip_after or ramp_time no switch counts as cold; without replicas_of_me one call
 // controller is assumed; without dial_timeout, max_open or streams_per_conn the program's own limits apply; all others are 0
 // or false.
 func Parse(text []byte) (Settings, error) {
@@ -143,8 +144,8 @@
 		OverloadWindow: tenthsRoundedUp(object.Rules.TipAfter), MustSubscribe: object.Discovery == "subscribe",
 		MaxSubscribeInterval: tenthsRoundedUp(object.Rules.AskWithin), CancelsAllowed: object.Limits.Cancel,
 	}
-	if deployment.MaxTries == 0 {
-		deployment.MaxTries = maxCount
+	if deployment.MaxTries == 0 || deployment.MaxTries > maxTries {
+		deployment.MaxTries = maxTries
 	}
 	if deployment.OverloadMultiple == 0 || deployment.OverloadWindow == 0 {
 		deployment.RampTime = 0
