Log: what was queued and for how long unread where a connection is closed

'The peer reads too slowly' could not be told from a queue that fills before its writer runs. The line has queued_octets and unread_ms now.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -40,6 +40,7 @@
 	unhandledCancels map[string]struct{}
 	closing          bool
 	wrote            bool
+	writeStartedAt   time.Time // when the write in progress started, zero if none is
 }
 
 // queuedSetUp is the position of a set-up in the queued octets.
@@ -160,6 +161,9 @@
 		buf, c.queue, c.queuedSetUps = c.queue, buf[:0], c.queuedSetUps[:0]
 		closing := c.closing
 		c.wrote = c.wrote || len(buf) > 0
+		if len(buf) > 0 {
+			c.writeStartedAt = time.Now()
+		}
 		c.mu.Unlock()
 		if len(buf) > 0 {
 			if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -169,6 +173,7 @@
 				break
 			}
 		}
+		c.writeEnded()
 		if closing {
 			if c.wrote && c.halfClose() {
 				return
@@ -182,6 +187,22 @@
 	c.netConn.Close()
 }
 
+func (c *connection) writeEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeStartedAt = time.Time{}
+}
+
+// unreadFor returns how long the peer has not taken the write in progress, 0 if none is.
+func (c *connection) unreadFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeStartedAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.writeStartedAt)
+}
+
 // halfClose closes the write side of the connection and sets a deadline for its reader. It returns false if that fails.
 func (c *connection) halfClose() bool {
 	writer, ok := c.netConn.(interface{ CloseWrite() error })
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -29,7 +29,10 @@
 	}
 	for range copies {
 		if conn != nil && !conn.enqueue(m) {
-			(*Server)(t).warn("connection closed: the peer reads too slowly")
+			if s := (*Server)(t); s.allowWarning() {
+				s.log.Warn("connection closed: the peer reads too slowly", "conn", to, "peer", conn.netConn.RemoteAddr(), "queued_octets", conn.queuedOctets(),
+					"unread_ms", conn.unreadFor().Milliseconds())
+			}
 		}
 	}
 }
