Releases fill no write queue: one peer's calls close no other caller's connection

Cause: each such call was released towards its caller, nobody confirmed that, and each of up to 4,096 releases went to all connections in rounds, and all of them at once to a connection with its first set-up. Within one step of the event loop no writer runs, so 592,240 octets met a queue of 262,144, and a full queue closed the connection as one that is not read. Evidence: unread_ms 0 in each such line; 678,695 repeated copies. Excluded: a caller that reads slowly (unread_ms), eviction and idle closes (no such line).

Change: - A copy is written only where no more than 128 KiB wait, 32 KiB for a call that was merely announced. The release stays pending. - Releases of announced calls are a class of their own: 1,024 at most, within which the connection with the most loses its own, 8 copies each. A switch that releases the call itself puts it among the others. Copies have a total of 32,768. - The queue of a connection closes it only at half of a common budget of an eighth of the memory limit, and when the budget is used up those go first that have not taken a write for 100 ms. Before, 256 KiB for each of up to 500 connections had no common bound. Writes to a connection that is being closed end after 0.5 s instead of 2 s, as others wait for its slot.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -53,6 +53,7 @@
 	Write(to ConnID, msg *sip.Message)            // no-op if the connection is closed
 	Close(conn ConnID, reason string)             // after pending writes are flushed
 	Dial(switchID, dialID uint32, address string) // reports the result to DialDone
+	Backlog(conn ConnID) int                      // octets that wait to be written on a connection, 0 if it is closed
 	// Abandoned reports whether the caller has disconnected or cancelled, even if that event is still queued.
 	Abandoned(caller ConnID, callID string) bool
 	Log(text string) // logs a message for the operator
@@ -181,7 +182,7 @@
 	build func(policy.Deployment, policy.Executor, policy.Tenths) exchange.Decider) *Agent {
 	a := &Agent{settings: settings, transport: transport, now: now, calls: map[uint64]*trackedCall{}, byHandle: map[uint32]*trackedCall{},
 		limits: bounds.callLimits(), announced: newFairQueue[*trackedCall](bounds.callLimits().announced), retained: newRetainedCalls(bounds.callLimits()), maxOpenCalls: bounds.Calls, maxBodyOctets: bounds.Octets, maxLinks: bounds.Links, switches: map[uint32]*remoteSwitch{}, switchOfLink: map[ConnID]uint32{}, closingLinks: map[ConnID]uint32{}, dialAddresses: map[uint32]string{},
-		callers: newCallerConns(bounds.Callers), silence: silenceClock{lastTickAt: now}, callerReleases: releaseQueue{byCall: map[uint64]*pendingRelease{}}, maintenanceAt: now + maintenanceInterval, lastKeepaliveID: settings.Policy.Seed}
+		callers: newCallerConns(bounds.Callers), silence: silenceClock{lastTickAt: now}, callerReleases: newReleaseQueue(), maintenanceAt: now + maintenanceInterval, lastKeepaliveID: settings.Policy.Seed}
 	a.decider = build(settings.Policy, (*policyOutput)(a), now)
 	return a
 }
@@ -438,8 +439,9 @@
 // ReleaseCounts returns the counters of releases towards callers.
 func (a *Agent) ReleaseCounts() ReleaseCounts {
 	counts := a.releaseCounts
-	if counts.Pending = len(a.callerReleases.order); counts.Pending > 0 {
-		counts.OldestAge = a.now - a.callerReleases.order[0].receivedAt
+	counts.Pending = a.callerReleases.len()
+	if oldest, ok := a.callerReleases.oldest(); ok {
+		counts.OldestAge = a.now - oldest
 	}
 	return counts
 }
--- a/internal/b2bua/b2bua_test.go
+++ b/internal/b2bua/b2bua_test.go
@@ -547,7 +547,7 @@
 	if h.agent.openCalls != 0 || h.agent.bodyOctets != 0 {
 		t.Fatalf("%d open, %d octets held", h.agent.openCalls, h.agent.bodyOctets)
 	}
-	if held, pending := h.agent.Held(), len(h.agent.callerReleases.order); held.Timers > idleTimers+pending || held.Policy.Calls > h.agent.establishedCalls {
+	if held, pending := h.agent.Held(), h.agent.callerReleases.len(); held.Timers > idleTimers+pending || held.Policy.Calls > h.agent.establishedCalls {
 		t.Fatalf("held %+v, with %d releases pending and %d calls established", held, pending, h.agent.establishedCalls)
 	}
 }
--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -93,13 +93,17 @@
 	return caller != nil && caller.lastProofAt != 0
 }
 
-// forgetCopies removes a finished release from the connections on which it was written.
-func (cs *callerConns) forgetCopies(release *pendingRelease) {
+// forgetCopies removes a finished release from the connections on which it was written. It returns the number of its
+// copies there.
+func (cs *callerConns) forgetCopies(release *pendingRelease) (copies int) {
 	for _, conn := range release.conns {
 		if caller := cs.conns[conn]; caller != nil {
+			before := len(caller.copies)
 			caller.copies = slices.DeleteFunc(caller.copies, func(written releaseCopy) bool { return written.release == release })
+			copies += before - len(caller.copies)
 		}
 	}
+	return copies
 }
 
 // evictionCandidate selects the connection to close when one more would exceed the limit: the oldest one without any
--- a/internal/b2bua/caller_release.go
+++ b/internal/b2bua/caller_release.go
@@ -29,45 +29,16 @@
 	// stallReadDelay is how long answers may lie unread after a stall of this process. It postpones a round once.
 	stallReadDelay = policy.Tenths(500)
 
-	maxCallerReleases = 4096 // unconfirmed releases; beyond this the oldest is dropped
-)
-
-// pendingRelease is the release of a call towards its caller. It exists from the end of the call until the caller
-// is known to have read the release, or the release is dropped. Its next round is always scheduled, whatever
-// happens to connections.
-type pendingRelease struct {
-	call             *trackedCall
-	cause            int
-	receivedAt       policy.Tenths
-	roundTimer       *due.Timer // of the next round
-	lastCopyAt       policy.Tenths
-	rounds           int
-	copies           int           // copies in total
-	roundCopies      int           // of these, in rounds and when connections ended
-	offeredCopies    int           // and on connections that came or proved to be read
-	firstSetUpConnAt policy.Tenths // first copy on a connection on which a set-up came, 0 before
-	conns            []ConnID      // open connections with a copy
-	postponed        bool          // the round has been postponed for a stall
-	waitLogged       bool          // the lack of connections has been logged
-}
-
-// releaseQueue holds the unconfirmed releases.
-type releaseQueue struct {
-	order  []*pendingRelease // oldest first
-	byCall map[uint64]*pendingRelease
-}
-
-func (q *releaseQueue) add(release *pendingRelease) {
-	q.order = append(q.order, release)
-	q.byCall[release.call.id] = release
-}
+	// A copy is only written on a connection on which no more than this waits to be written, so that releases never fill
+	// the queue of a connection with set-ups of others. The release itself stays pending.
+	maxReleaseBacklog   = 128 << 10 // octets
+	maxAnnouncedBacklog = 32 << 10  // octets, for a call that was merely announced
 
-func (q *releaseQueue) remove(release *pendingRelease) {
-	if i := slices.Index(q.order, release); i >= 0 {
-		q.order = slices.Delete(q.order, i, i+1)
-	}
-	delete(q.byCall, release.call.id)
-}
+	// announcedOwnSpan is how long the release of a call that was merely announced goes to the connection of the announcement
+	// alone, if that is open.
+	announcedOwnSpan   = 2 * releaseRoundInterval
+	maxAnnouncedCopies = 8 // of the release of a call that was merely announced, in place of the figures above
+)
 
 // releaseCopy is a copy of a release written on a connection.
 type releaseCopy struct {
@@ -84,13 +55,46 @@
 	if before := a.callerReleases.byCall[call.id]; before != nil {
 		a.removeRelease(before)
 	}
-	if len(a.callerReleases.order) >= maxCallerReleases {
-		a.dropRelease(a.callerReleases.order[0], "too many unconfirmed releases")
-	}
 	call.callerNotified = true
-	release := &pendingRelease{call: call, cause: max(cause, 0), receivedAt: a.now}
-	a.callerReleases.add(release)
+	release := &pendingRelease{call: call, cause: max(cause, 0), receivedAt: a.now, announced: call.merelyAnnounced()}
+	excess := a.callerReleases.add(release)
 	a.writeRound(release)
+	if excess != nil {
+		a.dropRelease(excess, "too many unconfirmed releases")
+	}
+}
+
+// mayWrite reports whether a copy of a release may be written on a connection.
+func (a *Agent) mayWrite(release *pendingRelease, caller *callerConn) bool {
+	if release.copies > 0 && a.callerReleases.copies >= maxReleaseCopies {
+		return false
+	}
+	limit := maxReleaseBacklog
+	if release.announced {
+		limit = maxAnnouncedBacklog
+	}
+	return a.transport.Backlog(caller.conn) <= limit
+}
+
+// roundCopiesLeft returns how many more copies of a release may be written in rounds and when connections end.
+func (r *pendingRelease) roundCopiesLeft() int {
+	if r.announced {
+		return max(0, maxAnnouncedCopies-r.roundCopies)
+	}
+	return max(0, maxRoundCopies-r.roundCopies)
+}
+
+// offeredCopiesLeft returns how many more copies of a release may be written on connections about which something new is
+// known.
+func (r *pendingRelease) offeredCopiesLeft(proved bool) int {
+	limit := maxOfferedCopies
+	if proved {
+		limit += maxProvedCopies
+	}
+	if r.announced {
+		limit = maxAnnouncedCopies
+	}
+	return max(0, limit-r.offeredCopies)
 }
 
 // releaseRoundDue writes the next round of an unconfirmed release.
@@ -128,6 +132,9 @@
 	if release.rounds == 0 && len(candidates) > 0 && candidates[0].suspect(a.now) {
 		copies++
 	}
+	if release.announced && a.now-release.receivedAt < announcedOwnSpan && len(candidates) > 0 && candidates[0].conn == release.call.callerConnID {
+		candidates = candidates[:1]
+	}
 	a.writeCopies(release, candidates, copies)
 	if release.copies > 0 {
 		release.rounds++
@@ -151,10 +158,16 @@
 		release.waitLogged = true
 		a.transport.Record(Record{Kind: ReleasePending, CallID: release.call.callID, Switch: release.call.lastSwitch(), Reason: "no open caller connection"})
 	}
-	copies = min(copies, len(candidates), maxRoundCopies-release.roundCopies)
-	for _, caller := range candidates[:max(0, copies)] {
-		release.roundCopies++
-		a.writeCopy(release, caller)
+	copies = min(copies, release.roundCopiesLeft())
+	for _, caller := range candidates {
+		if copies <= 0 {
+			return
+		}
+		if a.mayWrite(release, caller) {
+			copies--
+			release.roundCopies++
+			a.writeCopy(release, caller)
+		}
 	}
 }
 
@@ -174,6 +187,7 @@
 	}
 	a.transport.Record(Record{Kind: kind, CallID: call.callID, Conn: caller.conn, Switch: call.lastSwitch(), Cause: release.cause, Copies: release.copies, Waited: a.now - release.receivedAt})
 	release.conns = append(release.conns, caller.conn)
+	a.callerReleases.copies++
 	caller.lastSeq++
 	caller.copies = append(caller.copies, releaseCopy{release: release, seq: caller.lastSeq, writtenAt: a.now})
 	a.transport.Write(caller.conn, a.newRelease(call.callID, call.uri, release.cause))
@@ -182,12 +196,11 @@
 // offerReleases writes releases on a connection about which something new is known: those without a copy on an
 // equally good connection, and those whose last copy is too old.
 func (a *Agent) offerReleases(caller *callerConn) {
-	for _, release := range slices.Clone(a.callerReleases.order) {
-		maxOffered := maxOfferedCopies
-		if caller.lastProofAt != 0 {
-			maxOffered += maxProvedCopies
+	for release := range a.callerReleases.all() {
+		if !a.mayWrite(release, caller) {
+			continue
 		}
-		if release.offeredCopies < maxOffered && !slices.Contains(release.conns, caller.conn) && a.needsCopy(release, caller) {
+		if release.offeredCopiesLeft(caller.lastProofAt != 0) > 0 && !slices.Contains(release.conns, caller.conn) && a.needsCopy(release, caller) {
 			release.offeredCopies++
 			a.writeCopy(release, caller)
 		}
@@ -205,9 +218,11 @@
 
 // rewriteReleases rewrites releases that were written on a connection that has ended, perhaps unread.
 func (a *Agent) rewriteReleases(caller *callerConn) {
-	for _, release := range a.callerReleases.order {
+	for _, written := range caller.copies {
+		release := written.release
 		release.conns = slices.DeleteFunc(release.conns, func(conn ConnID) bool { return conn == caller.conn })
 	}
+	a.callerReleases.copies -= len(caller.copies)
 	if !caller.setUpSeen { // the rounds continue without it; many connections ending at once would use up all copies
 		return
 	}
@@ -241,7 +256,7 @@
 func (a *Agent) removeRelease(release *pendingRelease) {
 	a.timers.Stop(release.roundTimer)
 	a.callerReleases.remove(release)
-	a.callers.forgetCopies(release)
+	a.callerReleases.copies -= a.callers.forgetCopies(release)
 }
 
 // handleReadProof handles a proof that a caller has read its connection up to a sequence number. This confirms the
@@ -255,6 +270,7 @@
 	}
 	readCopies := slices.Clone(caller.copies[:n])
 	caller.copies = slices.Delete(caller.copies, 0, n)
+	a.callerReleases.copies -= n
 	for _, written := range readCopies {
 		if call := written.release.call; call.callerConnID == caller.conn {
 			a.confirmRelease(call)
--- a/internal/b2bua/caller_release_test.go
+++ b/internal/b2bua/caller_release_test.go
@@ -96,8 +96,8 @@
 		t.Fatalf("the caller was released %d times", copies)
 	}
 	h.advanceTime(slowRoundInterval)
-	if len(h.agent.callerReleases.order) != 0 {
-		t.Fatalf("%d pending releases", len(h.agent.callerReleases.order))
+	if h.agent.callerReleases.len() != 0 {
+		t.Fatalf("%d pending releases", h.agent.callerReleases.len())
 	}
 }
 
@@ -192,7 +192,7 @@
 	h.releaseFromSwitch(call)
 	h.answer(other, sip.OK)
 	h.agent.FromCaller(h.now, h.now, first, &sip.Message{Method: sip.Ack, URI: "sip:x@net", CallID: call.id, CSeq: 1}) // of an answer before the release
-	if len(h.agent.callerReleases.order) != 1 {
+	if h.agent.callerReleases.len() != 1 {
 		t.Fatal("confirmed by an ACK to an earlier answer")
 	}
 	h.agent.FromCaller(h.now, h.now, first, &sip.Message{Method: sip.Ack, URI: "sip:x@net", CallID: other.id, CSeq: 1})
--- a/internal/b2bua/fair_queue.go
+++ b/internal/b2bua/fair_queue.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"iter"
+	"maps"
+	"slices"
 )
 
 // fairQueue holds entries that came on account of connections, within a common limit. When it is full, the connection
@@ -70,6 +73,26 @@
 	delete(q.origins, from.conn)
 }
 
+// all yields the entries by connection, in the order of the connections, and for each the oldest first. The present one may
+// be removed meanwhile.
+func (q *fairQueue[T]) all() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		for _, conn := range slices.Sorted(maps.Keys(q.origins)) {
+			from := q.origins[conn]
+			if from == nil {
+				continue
+			}
+			for element := from.entries.Front(); element != nil; {
+				next := element.Next()
+				if !yield(element.Value.(T)) {
+					return
+				}
+				element = next
+			}
+		}
+	}
+}
+
 // originHeap implements heap.Interface, the connection with the most entries first.
 type originHeap []*origin
 
--- a/internal/b2bua/harness_test.go
+++ b/internal/b2bua/harness_test.go
@@ -102,6 +102,8 @@
 	onSetUp               func(switchID uint32)    // called for each set-up to a switch
 	acknowledged          map[ConnID]bool          // callers on these have acknowledged an answer
 	unresponsive          map[ConnID]bool          // callers on these answer no release
+	backlogs              map[ConnID]int           // octets that wait to be written
+	unwritten             map[ConnID]bool          // what is written on these is counted in backlogs
 }
 
 type sentMessage struct {
@@ -122,7 +124,7 @@
 }
 
 func newHarnessWithBounds(t testReporter, bounds Bounds) *harness {
-	h := &harness{t: t, now: 17e12, calls: map[string]*observedCall{}, links: map[ConnID]uint32{}, unavailable: map[uint32]bool{}, closed: map[ConnID]string{}, silent: map[ConnID]bool{}, unresponsive: map[ConnID]bool{}, abandonedIDs: map[string]bool{}, openedAt: map[ConnID]policy.Tenths{}, setUpConns: map[ConnID]bool{}, acknowledged: map[ConnID]bool{}}
+	h := &harness{t: t, now: 17e12, calls: map[string]*observedCall{}, links: map[ConnID]uint32{}, unavailable: map[uint32]bool{}, closed: map[ConnID]string{}, silent: map[ConnID]bool{}, unresponsive: map[ConnID]bool{}, backlogs: map[ConnID]int{}, unwritten: map[ConnID]bool{}, abandonedIDs: map[string]bool{}, openedAt: map[ConnID]policy.Tenths{}, setUpConns: map[ConnID]bool{}, acknowledged: map[ConnID]bool{}}
 	h.agent = New(testSettings(), bounds, h, h.now,
 		func(d policy.Deployment, output policy.Executor, now policy.Tenths) exchange.Decider {
 			return policy.New(d, output, now)
@@ -308,6 +310,9 @@
 // Write checks every message that the agent sends.
 func (h *harness) Write(to ConnID, msg *sip.Message) {
 	h.sentMessages = append(h.sentMessages, sentMessage{to, *msg})
+	if h.unwritten[to] {
+		h.backlogs[to] += len(sip.Append(nil, msg))
+	}
 	if msg.Method == sip.Options {
 		h.keepalives = append(h.keepalives, sentMessage{to, *msg})
 	}
@@ -444,6 +449,7 @@
 	h.dials = append(h.dials, dialRequest{switchID, dialID, address})
 }
 func (h *harness) Abandoned(caller ConnID, callID string) bool { return h.abandonedIDs[callID] }
+func (h *harness) Backlog(conn ConnID) int                     { return h.backlogs[conn] }
 func (h *harness) Log(text string)                             { h.logged = append(h.logged, text) }
 
 func (h *harness) Record(record Record) { h.records = append(h.records, record) }
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	maxCallerQueue = 256 << 10 // octets queued for one caller connection
-	maxSwitchQueue = 512 << 10 // octets queued for one switch connection
-	writeTimeout   = 2 * time.Second
+	writeTimeout        = 2 * time.Second
+	closingWriteTimeout = 500 * time.Millisecond // of a connection that is being closed, whose slot others wait for
 
 	// lingerTimeout is how long input is still read and discarded after the write side is closed: closing a socket with unread
 	// input sends a reset, which destroys an answer that the peer has not read yet.
@@ -26,16 +25,19 @@
 )
 
 // connection is a connection to a caller or switch with its write queue. Queueing never blocks: a peer that reads too slowly
-// loses its connection.
+// loses its connection, after writeTimeout or when maxQueued octets wait.
 type connection struct {
 	id         b2bua.ConnID
 	netConn    net.Conn
 	maxQueued  int
+	budget     *writeBudget // of all connections, nil if there is none
 	wake       chan struct{}
 	inputEnded atomic.Bool // the reader has seen the end of the stream
 
 	mu               sync.Mutex
 	queue            []byte
+	writing          int           // octets of the write in progress
+	discarded        bool          // nothing is queued any more
 	queuedSetUps     []queuedSetUp // positions of the set-ups in queue
 	unhandledCancels map[string]struct{}
 	closing          bool
@@ -58,13 +60,14 @@
 // its caller has abandoned the call. It returns false if the queue is full, and closes the connection.
 func (c *connection) enqueue(m *sip.Message) bool {
 	c.mu.Lock()
-	if !c.closing && !(m.Method == sip.Cancel && c.removeSetUp(m)) {
-		start := len(c.queue)
+	start := len(c.queue)
+	if !c.closing && !c.discarded && !(m.Method == sip.Cancel && c.removeSetUp(m)) {
 		c.queue = sip.Append(c.queue, m)
 		if m.Method == sip.Invite {
 			c.queuedSetUps = append(c.queuedSetUps, queuedSetUp{start, len(c.queue), m.CallID, m.CSeq})
 		}
 	}
+	c.budget.add(len(c.queue) - start)
 	full := len(c.queue) > c.maxQueued
 	c.mu.Unlock()
 	if full {
@@ -75,6 +78,14 @@
 	return true
 }
 
+// discard drops what is queued. Nothing is queued any more.
+func (c *connection) discard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.add(-len(c.queue))
+	c.discarded, c.queue, c.queuedSetUps = true, nil, nil
+}
+
 // removeSetUp removes the set-up of a CANCEL from the queue. It returns false if the set-up is not in the queue.
 func (c *connection) removeSetUp(m *sip.Message) bool {
 	i := slices.IndexFunc(c.queuedSetUps, func(s queuedSetUp) bool { return s.callID == m.CallID && s.cseq == m.CSeq })
@@ -95,6 +106,9 @@
 func (c *connection) closeAfterWrite() {
 	c.mu.Lock()
 	c.closing = true
+	if c.writing > 0 {
+		c.netConn.SetWriteDeadline(time.Now().Add(closingWriteTimeout)) //nolint:errcheck // the write in progress ends by its own timeout
+	}
 	c.mu.Unlock()
 	c.wakeWriter()
 }
@@ -109,7 +123,7 @@
 func (c *connection) queuedOctets() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue)
+	return len(c.queue) + c.writing
 }
 
 // addCancel records a CANCEL as soon as it is read: it may wait in the inbox, and no try may begin in the meantime.
@@ -155,25 +169,18 @@
 // writeLoop writes the queue until the connection fails or closeAfterWrite is called. It then closes the connection or, after a
 // half-close, leaves that to the reader.
 func (c *connection) writeLoop() {
+	defer c.discard()
 	var buf []byte
 	for range c.wake {
-		c.mu.Lock()
-		buf, c.queue, c.queuedSetUps = c.queue, buf[:0], c.queuedSetUps[:0]
-		closing := c.closing
-		c.wrote = c.wrote || len(buf) > 0
-		if len(buf) > 0 {
-			c.writeStartedAt = time.Now()
-		}
-		c.mu.Unlock()
+		var closing bool
+		buf, closing = c.takeQueue(buf[:0])
 		if len(buf) > 0 {
-			if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-				break
-			}
-			if _, err := c.netConn.Write(buf); err != nil {
+			_, err := c.netConn.Write(buf)
+			c.writeEnded()
+			if err != nil {
 				break
 			}
 		}
-		c.writeEnded()
 		if closing {
 			if c.wrote && c.halfClose() {
 				return
@@ -187,10 +194,29 @@
 	c.netConn.Close()
 }
 
+// takeQueue takes what is queued, to be written now, and leaves an empty buffer in its place. closing means that nothing follows.
+func (c *connection) takeQueue(empty []byte) (queue []byte, closing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	queue, c.queue, c.queuedSetUps = c.queue, empty, c.queuedSetUps[:0]
+	if c.writing = len(queue); c.writing == 0 {
+		return queue, c.closing
+	}
+	c.wrote, c.writeStartedAt = true, time.Now()
+	timeout := writeTimeout
+	if c.closing {
+		timeout = closingWriteTimeout
+	}
+	c.netConn.SetWriteDeadline(time.Now().Add(timeout)) //nolint:errcheck // the write reports that the connection is closed
+	return queue, c.closing
+}
+
+// writeEnded records that the write in progress has ended.
 func (c *connection) writeEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeStartedAt = time.Time{}
+	c.budget.add(-c.writing)
+	c.writing, c.writeStartedAt = 0, time.Time{}
 }
 
 // unreadFor returns how long the peer has not taken the write in progress, 0 if none is.
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -101,6 +101,7 @@
 	mu             sync.Mutex   // guards lastConnID and openConns
 	lastConnID     b2bua.ConnID // last identifier given to a connection
 	openConns      map[*connection]struct{}
+	writeBudget    writeBudget
 	boardAddresses chan string   // new addresses of the notice board
 	listenerClosed chan struct{} // closed once no more connections are accepted
 	lastBoardEvent uint64        // number of the last notice board event
@@ -122,6 +123,7 @@
 		switchConns: map[b2bua.ConnID]*connection{}, openConns: map[*connection]struct{}{}, boardAddresses: make(chan string, 1), listenerClosed: make(chan struct{}), recordCounts: map[b2bua.RecordKind]int{}}
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
 	memory := config.Limits.MemoryMB << 20
+	s.writeBudget.limit = int64(memory / queueMemoryDivisor)
 	bounds := b2bua.Bounds{Calls: memory / maxOctetsPerCall, Octets: memory / descriptionMemoryDivisor, Callers: maxCallers, Links: maxLinks, Memory: memory}
 	if maxOpen := config.Settings.MaxOpenCalls; maxOpen > 0 {
 		bounds.Calls = min(bounds.Calls, maxOpen)
@@ -159,11 +161,12 @@
 }
 
 // addConn registers a new connection.
-func (s *Server) addConn(netConn net.Conn, maxQueued int) *connection {
+func (s *Server) addConn(netConn net.Conn) *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastConnID++
-	conn := newConnection(s.lastConnID, netConn, maxQueued)
+	conn := newConnection(s.lastConnID, netConn, int(s.writeBudget.limit)/queueBudgetDivisor)
+	conn.budget = &s.writeBudget
 	s.openConns[conn] = struct{}{}
 	return conn
 }
@@ -408,7 +411,7 @@
 				return
 			}
 		}
-		conn := s.addConn(netConn, maxCallerQueue)
+		conn := s.addConn(netConn)
 		if !s.post(event{kind: callerConnected, connID: conn.id, conn: conn}) {
 			s.removeConn(conn)
 			<-s.callerSlots
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -27,14 +27,22 @@
 	if t.config.injectedFault != "" {
 		copies = t.config.copies(t.callerConns[to] != nil, m)
 	}
+	s := (*Server)(t)
 	for range copies {
 		if conn != nil && !conn.enqueue(m) {
-			if s := (*Server)(t); s.allowWarning() {
-				s.log.Warn("connection closed: the peer reads too slowly", "conn", to, "peer", conn.netConn.RemoteAddr(), "queued_octets", conn.queuedOctets(),
-					"unread_ms", conn.unreadFor().Milliseconds())
-			}
+			s.logClosedByQueue(conn, "connection closed: the peer reads too slowly")
+			conn.discard()
 		}
 	}
+	s.closeLargestQueues()
+}
+
+// Backlog returns the octets that wait to be written on a connection.
+func (t *transport) Backlog(id b2bua.ConnID) int {
+	if conn := t.conn(id); conn != nil {
+		return conn.queuedOctets()
+	}
+	return 0
 }
 
 // Close closes a connection after writing what is queued for it.
@@ -68,7 +76,7 @@
 		netConn, err := s.dial(ctx, address)
 		e := event{kind: dialFinished, switchID: switchID, dialID: dialID, refused: errors.Is(err, syscall.ECONNREFUSED)}
 		if err == nil {
-			e.conn = s.addConn(netConn, maxSwitchQueue)
+			e.conn = s.addConn(netConn)
 			e.connID = e.conn.id
 		}
 		posted := s.post(e)
