Connections to switches: releases and set-ups wait where too much is queued

Each such BYE was also remembered for 3.3 s, as a whole message and without a bound.

Change: beyond 128 KiB a connection takes no further release or set-up; they go to another connection or wait until it is written (looked at each 25 ms). 4,096 releases may wait for all switches, announced calls may take half of that; 16,384 are remembered for all connections, as id, URI and cause.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -168,6 +168,7 @@
 	closingLinks     map[ConnID]uint32 // connections to switches that were closed locally and may still deliver releases
 	callers          callerConns
 	callerReleases   releaseQueue
+	switchReleases   switchReleaseCounts
 	timers           due.Queue
 	maintenanceAt    policy.Tenths
 	deferred         []deferredResult
@@ -376,7 +377,7 @@
 		remote.messageOnLink(link, now)
 		link.lastMessageAt, link.unansweredSince, link.partialSince, link.messageSeen, link.silent = now, 0, 0, true, false
 		if msg.Status != 0 && msg.CSeqMethod == sip.Options {
-			remote.keepaliveAnswered(link, now, msg.CallID)
+			a.keepaliveAnswered(remote, link, msg.CallID)
 		}
 	}
 	switch {
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -243,7 +243,7 @@
 		a.callCounts.Abandoned++
 	case Established: // the CANCEL crossed the answer
 		a.callCounts.CancelCrossed++
-		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, a.newRelease(call.callID, call.uri, causeNormal))
+		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, newSwitchRelease(call, causeNormal))
 		a.endCall(call, policy.Cancelled, noReport)
 	}
 }
@@ -262,7 +262,7 @@
 	a.confirmRelease(call)
 	switch call.state {
 	case Established:
-		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, a.newRelease(call.callID, call.uri, max(parseCause(msg), causeNormal)))
+		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, newSwitchRelease(call, max(parseCause(msg), causeNormal)))
 		a.endCall(call, policy.Cancelled, noReport)
 	case Offered, Trying:
 		a.abandonCall(call)
--- a/internal/b2bua/harness_test.go
+++ b/internal/b2bua/harness_test.go
@@ -103,6 +103,7 @@
 	acknowledged          map[ConnID]bool          // callers on these have acknowledged an answer
 	unresponsive          map[ConnID]bool          // callers on these answer no release
 	backlogs              map[ConnID]int           // octets that wait to be written
+	nextBody              string                   // added to the description of the next set-up
 	unwritten             map[ConnID]bool          // what is written on these is counted in backlogs
 }
 
@@ -277,7 +278,8 @@
 func (h *harness) sendSetUp(conn ConnID, dest int, expiresMS int) *observedCall {
 	id := fmt.Sprintf("%016x", 1000+len(h.order))
 	h.setUpConns[conn] = true
-	call := &observedCall{id: id, conn: conn, deadline: h.now + policy.Tenths(expiresMS)*10, body: "offer of " + id}
+	call := &observedCall{id: id, conn: conn, deadline: h.now + policy.Tenths(expiresMS)*10, body: "offer of " + id + h.nextBody}
+	h.nextBody = ""
 	h.calls[id], h.order = call, append(h.order, id)
 	h.agent.FromCaller(h.now, h.now, conn, invite(id, "voice", expiresMS, fmt.Sprintf("dest:%d;width:1;via:-1", dest), call.body))
 	h.answerPending()
--- a/internal/b2bua/held.go
+++ b/internal/b2bua/held.go
@@ -14,16 +14,11 @@
 
 // Held counts what the agent holds.
 func (a *Agent) Held() HeldCounts {
-	held := HeldCounts{Timers: a.timers.Len(), RetainedCalls: a.retained.len(), Switches: len(a.switches)}
+	held := HeldCounts{Timers: a.timers.Len(), RetainedCalls: a.retained.len(), Switches: len(a.switches),
+		SentReleases: a.switchReleases.sent + a.switchReleases.pending}
 	for _, caller := range a.callers.conns {
 		held.ReleaseCopies += len(caller.copies)
 	}
-	for _, remote := range a.switches {
-		held.SentReleases += len(remote.pendingReleases)
-		for _, link := range remote.links {
-			held.SentReleases += len(link.sentReleases)
-		}
-	}
 	if decider, ok := a.decider.(interface{ Held() policy.HeldCounts }); ok {
 		held.Policy = decider.Held()
 	}
--- a/internal/b2bua/isolation_test.go
+++ b/internal/b2bua/isolation_test.go
@@ -154,3 +154,100 @@
 		t.Error("a release was written on a connection with a full queue")
 	}
 }
+
+// Guards against one caller whose calls fill the queue of a connection to a switch, which was closed for it with the
+// set-ups of others on it: announced calls that it releases at once, thousands of them.
+func TestReleasesOfOneCallerFillNoSwitchQueue(t *testing.T) {
+	h, usual, call := callerWithOpenSetUp(t)
+	link := call.tryConn
+	h.unwritten[link] = true
+	flooder := h.connectCaller()
+	h.unresponsive[flooder] = true
+	const flood = 3 * maxPendingReleases
+	for n := range flood {
+		h.agent.FromCaller(h.now, h.now, flooder, announcement(idOf(0x100000+n), 1))
+		h.agent.FromCaller(h.now, h.now, flooder, h.newRelease(idOf(0x100000+n), 16))
+	}
+	if got := h.backlogs[link]; got > maxSwitchBacklog+maxTestMessage {
+		t.Fatalf("%d octets queued for the switch, at most %d allowed", got, maxSwitchBacklog)
+	}
+	if counts := h.agent.switchReleases; counts.pending == 0 || counts.pending > maxPendingReleases/2 || counts.sent > maxSentReleases {
+		t.Fatalf("held %+v", counts)
+	}
+	h.answer(call, sip.OK)
+	call.callerEnded = true
+	h.agent.FromCaller(h.now, h.now, usual, h.newRelease(call.id, 16)) // it waits behind the others
+	for range 20 {                                                     // the switch reads
+		h.backlogs[link] = 0
+		h.advanceTime(maintenanceInterval)
+	}
+	if counts := h.agent.switchReleases; counts.pending != 0 || call.switchReleases != 1 {
+		t.Errorf("held %+v, the usual call was released %d times", counts, call.switchReleases)
+	}
+}
+
+// Guards against set-ups with long descriptions that fill the queue of a connection to a switch: they wait until it is
+// written, or go on other connections.
+func TestLongSetUpsFillNoSwitchQueue(t *testing.T) {
+	h := newHarnessWithBounds(t, Bounds{Calls: 500, Octets: 8 << 20, Callers: 6, Links: 12})
+	h.completeDials(1000, 1000)
+	link := h.mustLinkTo(1)
+	h.unwritten[link] = true
+	conn := h.connectCaller()
+	const calls, bodySize = 50, 15 << 10
+	var placed []*observedCall
+	for range calls {
+		h.nextBody = strings.Repeat("x", bodySize)
+		placed = append(placed, h.sendSetUp(conn, 1, 10000))
+	}
+	if got := h.backlogs[link]; got > maxSwitchBacklog+bodySize+maxTestMessage {
+		t.Fatalf("%d octets queued for the switch, at most %d allowed", got, maxSwitchBacklog)
+	}
+	for range 10 { // the switch reads; no further connection comes up
+		h.backlogs[link] = 0
+		h.advanceTime(maintenanceInterval)
+	}
+	for _, call := range placed {
+		if call.tryConn == 0 {
+			t.Fatalf("call %s was not set up: %d answers", call.id, call.answers)
+		}
+	}
+}
+
+// Guards against releases that are held for switches without a bound, or that are still counted when their connection or
+// their switch is gone.
+func TestReleasesHeldForSwitchesAreCounted(t *testing.T) {
+	h := newHarness(t)
+	h.completeDials(9, 9)
+	conn := h.connectCaller()
+	for n := range 2 * maxSentReleases {
+		switchID := uint32(1 + n%3)
+		h.agent.FromCaller(h.now, h.now, conn, announcement(idOf(0x100000+n), switchID))
+		h.agent.FromCaller(h.now, h.now, conn, h.newRelease(idOf(0x100000+n), 16))
+	}
+	check := func(when string) {
+		t.Helper()
+		counted := switchReleaseCounts{}
+		for _, remote := range h.agent.switches {
+			counted.pending += len(remote.pendingReleases)
+			for _, link := range remote.links {
+				counted.sent += len(link.sentReleases)
+			}
+		}
+		if counted != h.agent.switchReleases || counted.sent > maxSentReleases || counted.pending > maxPendingReleases {
+			t.Fatalf("%s: held %+v, counted %+v", when, counted, h.agent.switchReleases)
+		}
+	}
+	check("after the flood")
+	h.disconnectLink(h.mustLinkTo(1))
+	check("after the loss of a connection")
+	h.updateSwitches(false, board.Switch{ID: 1, Exchange: 1, Address: "10.0.0.2:1", State: board.Gone})
+	check("after a switch is gone")
+	h.updateSwitches(false, board.Switch{ID: 2, Exchange: 2, Address: "10.0.9.9:1"})
+	check("after a switch has moved")
+	h.advanceTime(releaseLossWindow + keepaliveInterval)
+	h.completeDials(9, 9)
+	if check("in the end"); h.agent.switchReleases.pending != 0 {
+		t.Errorf("held %+v", h.agent.switchReleases)
+	}
+}
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -7,16 +7,6 @@
 	"indigodrift/policy"
 )
 
-// requeueReleases queues the releases written recently on a lost connection for the next one.
-func (a *Agent) requeueReleases(remote *remoteSwitch, link *switchLink) {
-	for i := range link.sentReleases {
-		if release := &link.sentReleases[i]; a.now-release.sentAt <= releaseLossWindow && !a.activeAt(remote, &release.message) {
-			a.queueRelease(remote, &release.message)
-		}
-	}
-	link.sentReleases = nil
-}
-
 // linkLost records that a connection is lost, perhaps with the last messages of the switch.
 func (a *Agent) linkLost(remote *remoteSwitch, link *switchLink) {
 	a.requeueReleases(remote, link)
--- a/internal/b2bua/link_recovery_test.go
+++ b/internal/b2bua/link_recovery_test.go
@@ -131,7 +131,7 @@
 func TestReleaseOfAnEarlierTryIsNotRepeatedWhereTheCallIsEstablished(t *testing.T) {
 	h, _, call := establishedCall(t)
 	link := h.mustLinkTo(1)
-	h.agent.switches[1].findLink(link).sentReleases = []sentRelease{{h.now, *h.newRelease(call.id, 16)}}
+	h.agent.recordSent(h.agent.switches[1].findLink(link), switchRelease{callID: call.id, uri: "sip:x@net", cause: causeNormal})
 	h.disconnectLink(link)
 	h.completeDials(9, 9)
 	if call.switchReleases != 0 {
--- a/internal/b2bua/lost_repeat.go
+++ b/internal/b2bua/lost_repeat.go
@@ -64,7 +64,7 @@
 		a.transport.Log(fmt.Sprintf("%d calls established at %s are released: messages on connection %d may be lost", len(calls), board.FormatID(remote.entry.ID), suspect.conn))
 	}
 	for _, call := range calls {
-		a.releaseSwitch(remote.entry.ID, 0, a.newRelease(call.callID, call.uri, causeTemporaryFailure))
+		a.releaseSwitch(remote.entry.ID, 0, newSwitchRelease(call, causeTemporaryFailure))
 		a.releaseCaller(call, causeTemporaryFailure)
 		a.endCall(call, policy.Disconnected, noReport)
 	}
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -56,8 +56,7 @@
 	maxShortLinks     = 3
 	maxShortLinkDelay = policy.Tenths(10000)
 
-	maxLinksPerSwitch  = 4    // switches report group states on no more connections than this
-	maxPendingReleases = 4096 // per switch
+	maxLinksPerSwitch = 4 // switches report group states on no more connections than this
 )
 
 // switchLink is one connection to a switch.
@@ -101,12 +100,14 @@
 // keepaliveAnswered handles the answer to a keepalive. Only the last keepalive counts, as an answer to an earlier one
 // would measure too short a time. The estimate is the longest round trip measured, decayed by an eighth with each
 // further measurement.
-func (rs *remoteSwitch) keepaliveAnswered(link *switchLink, now policy.Tenths, id string) {
-	if link.keepaliveID != "" && id == link.keepaliveID {
-		// The switch has read the releases that were sent before the keepalive.
-		link.sentReleases = slices.DeleteFunc(link.sentReleases, func(release sentRelease) bool { return release.sentAt < link.keepaliveSentAt })
-		rs.roundTrip, rs.roundTripMeasured, link.keepaliveID = max(now-link.keepaliveSentAt, rs.roundTrip-rs.roundTrip/8), true, ""
+func (a *Agent) keepaliveAnswered(remote *remoteSwitch, link *switchLink, id string) {
+	if link.keepaliveID == "" || id != link.keepaliveID {
+		return
 	}
+	// The switch has read the releases that were sent before the keepalive.
+	a.setSent(link, slices.DeleteFunc(link.sentReleases, func(sent sentRelease) bool { return sent.sentAt < link.keepaliveSentAt }))
+	remote.roundTrip = max(a.now-link.keepaliveSentAt, remote.roundTrip-remote.roundTrip/8)
+	remote.roundTripMeasured, link.keepaliveID = true, ""
 }
 
 // remoteSwitch is one listed switch and the connections to it.
@@ -114,7 +115,7 @@
 	entry           board.Switch
 	links           []*switchLink
 	waitingTries    []*routeTry // tries that wait for a connection
-	pendingReleases []sip.Message
+	pendingReleases []switchRelease
 	dialing         bool
 	dialID          uint32
 	// recoveryDialID is the lowest id of a dial whose connection makes the switch repeat the releases lost on a broken
@@ -202,6 +203,7 @@
 	if candidate == nil {
 		return false
 	}
+	a.setSent(candidate, nil)
 	other := a.switches[a.switchOfLink[candidate.conn]]
 	delete(a.switchOfLink, candidate.conn)
 	a.closingLinks[candidate.conn] = other.entry.ID
@@ -251,13 +253,7 @@
 	if a.mayHang(remote) {
 		link.unansweredSince = now
 	}
-	for i := range remote.pendingReleases {
-		if msg := &remote.pendingReleases[i]; !a.activeAt(remote, msg) {
-			link.sentReleases = append(link.sentReleases, sentRelease{now, *msg})
-			a.transport.Write(conn, msg)
-		}
-	}
-	remote.pendingReleases = nil
+	a.flushReleases(remote, link)
 	a.sendWaiting(remote)
 	if remote.recoveryDialID != 0 { // the dial was in progress already when the connection was lost
 		a.dialReplacingIdle(remote)
@@ -265,14 +261,6 @@
 	a.flushDeferred()
 }
 
-// activeAt reports whether a call is being set up or is established at a switch, where a release of an earlier try
-// would disconnect it.
-func (a *Agent) activeAt(remote *remoteSwitch, release *sip.Message) bool {
-	id, err := parseID(release.CallID)
-	call := a.calls[id]
-	return err == nil && call != nil && call.lastSwitch() == remote.entry.ID && (call.state == Trying || call.state == Established)
-}
-
 // sendWaiting sends the set-ups that wait for a connection to a switch.
 func (a *Agent) sendWaiting(remote *remoteSwitch) {
 	waiting := remote.waitingTries
@@ -429,6 +417,7 @@
 		if len(remote.waitingTries) > 0 && !a.awaitsFirstMessage(remote) || linkNeeded && a.now >= remote.nextDialAt {
 			a.dialReplacingIdle(remote)
 		}
+		a.retryCongested(remote)
 		a.endLostCalls(remote)
 		if a.silentFor(remote.lastMessageAt) > peerTimeout {
 			a.disconnectCalls(remote, a.now, "no message received")
@@ -436,6 +425,18 @@
 	}
 }
 
+// retryCongested sends what waits because too much was queued on every connection to a switch, if one can take it now.
+func (a *Agent) retryCongested(remote *remoteSwitch) {
+	if len(remote.pendingReleases) > 0 {
+		if link := a.pickLink(remote, 0, a.congested); link != nil {
+			a.flushReleases(remote, link)
+		}
+	}
+	if len(remote.waitingTries) > 0 && a.pickLink(remote, a.settings.MaxTriesPerConn, a.congested) != nil {
+		a.sendWaiting(remote)
+	}
+}
+
 // startTime returns the start time of a switch, 0 if none is reported.
 func startTime(entry board.Switch) policy.Tenths { return policy.Tenths(max(0, entry.StartedMS)) * 10 }
 
@@ -506,6 +507,7 @@
 	a.endWaitingTries(remote)
 	a.closeLinks(remote, "the switch is gone", func(*switchLink) bool { return true })
 	a.disconnectCalls(remote, a.now+1, "the switch is gone")
+	a.setPending(remote, nil)
 	delete(a.switches, remote.entry.ID)
 	a.switchOrder = slices.DeleteFunc(a.switchOrder, func(id uint32) bool { return id == remote.entry.ID })
 }
--- a/internal/b2bua/route_try.go
+++ b/internal/b2bua/route_try.go
@@ -186,7 +186,7 @@
 	}
 	for _, try := range call.tries {
 		if try.state == tryOrphaned && !call.isEstablishedAt(try.switchID) {
-			a.releaseSwitch(try.switchID, try.conn, a.newRelease(call.callID, call.uri, causeNormal))
+			a.releaseSwitch(try.switchID, try.conn, newSwitchRelease(call, causeNormal))
 			a.advance(try, eventRelease, "answered after it was abandoned")
 		}
 	}
--- a/internal/b2bua/switch_release.go
+++ b/internal/b2bua/switch_release.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -10,16 +9,6 @@
 	"indigodrift/policy"
 )
 
-// releaseLossWindow is how long the end of a connection may mean that a BYE written on it was not read, unless a later
-// keepalive was answered. It is the time until a silent connection is detected. Switches need not answer a BYE.
-const releaseLossWindow = keepaliveInterval + maxKeepaliveTimeout + maxStallAllowance
-
-// sentRelease is a release written to a switch.
-type sentRelease struct {
-	sentAt  policy.Tenths
-	message sip.Message
-}
-
 // newRelease returns a BYE with a Q.850 cause.
 func (a *Agent) newRelease(callID, uri string, cause int) *sip.Message {
 	return &sip.Message{Method: sip.Bye, URI: uri, CallID: callID, CSeq: 100,
@@ -64,7 +53,7 @@
 	call.confirmed = true
 	a.releaseCaller(call, cause)
 	if call.lastSwitch() != remote.entry.ID || call.earlierTryMayBeReleased(remote.entry.ID) {
-		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, a.newRelease(call.callID, call.uri, causeNormal))
+		a.releaseSwitch(call.lastSwitch(), call.lastTry().conn, newSwitchRelease(call, causeNormal))
 	}
 	if cause == causeNormal {
 		a.endCall(call, policy.Released, report)
@@ -112,33 +101,3 @@
 	a.abandonTry(try, "released by the switch before an answer")
 	a.endTry(try, policy.Disconnected)
 }
-
-// releaseSwitch releases a call towards its switch on any connection, or on the next one that opens.
-func (a *Agent) releaseSwitch(switchID uint32, conn ConnID, msg *sip.Message) {
-	remote := a.switches[switchID]
-	if remote == nil {
-		return
-	}
-	link := remote.findLink(conn)
-	if link == nil || a.isSuspect(remote, link) {
-		if other := a.pickLink(remote, 0, avoidNone); other != nil {
-			link = other
-		}
-	}
-	if link != nil {
-		link.sentReleases = append(slices.DeleteFunc(link.sentReleases, func(release sentRelease) bool { return a.now-release.sentAt > releaseLossWindow }), sentRelease{a.now, *msg})
-		a.transport.Write(link.conn, msg)
-		return
-	}
-	a.queueRelease(remote, msg)
-	a.dial(remote)
-}
-
-// queueRelease queues a release for the next connection to a switch.
-func (a *Agent) queueRelease(remote *remoteSwitch, msg *sip.Message) {
-	if len(remote.pendingReleases) < maxPendingReleases {
-		remote.pendingReleases = append(remote.pendingReleases, *msg)
-	} else {
-		a.transport.Log("too many pending releases for a switch; release dropped")
-	}
-}
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -26,7 +26,8 @@
 		a.setHeldTry(try)
 		return
 	}
-	if link := a.pickLink(remote, a.settings.MaxTriesPerConn, try.answerAmbiguousOn); link != nil {
+	avoid := func(conn ConnID) bool { return try.answerAmbiguousOn(conn) || a.congested(conn) }
+	if link := a.pickLink(remote, a.settings.MaxTriesPerConn, avoid); link != nil {
 		a.releaseEarlierTries(try, link)
 		a.writeSetUp(try, link)
 		return
@@ -36,7 +37,8 @@
 	if a.awaitsFirstMessage(remote) {
 		return
 	}
-	if a.dial(remote); a.descriptorsExhausted() && !remote.dialing { // no connection is coming up
+	anyCongested := slices.ContainsFunc(remote.links, func(link *switchLink) bool { return a.congested(link.conn) })
+	if a.dial(remote); a.descriptorsExhausted() && !remote.dialing && !anyCongested { // no connection is coming up
 		a.dropTry(try, "no descriptor available")
 		a.endTry(try, policy.Unreachable)
 	}
