The end of a connection searches its own set-ups, not all calls

Change: a connection holds its open set-ups by handle. Pending releases are offered to a new connection after the cheap checks first. Behaviour is unchanged; the random histories and the tests of ends of connections cover it.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -270,7 +270,7 @@
 	open := func(state State) bool { return state == Offered || state == Trying }
 	if open(call.state) && !open(state) {
 		a.openCalls--
-		a.callers.setUpEnded(call.callerConnID)
+		a.callers.setUpEnded(call)
 		a.bodyOctets -= len(call.body)
 		call.body = nil
 		a.stopCallTimers(call)
--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -1,6 +1,7 @@
 package b2bua
 
 import (
+	"maps"
 	"slices"
 
 	"indigodrift/policy"
@@ -23,10 +24,10 @@
 type callerConn struct {
 	conn          ConnID
 	openedAt      policy.Tenths
-	lastMessageAt policy.Tenths // last complete message, 0 before the first
-	partialSince  policy.Tenths // when the message that is being received began, 0 if none
-	openSetUps    int           // set-ups open on it
-	setUpSeen     bool          // a valid set-up came on it
+	lastMessageAt policy.Tenths           // last complete message, 0 before the first
+	partialSince  policy.Tenths           // when the message that is being received began, 0 if none
+	setUps        map[uint32]*trackedCall // open on it, by handle
+	setUpSeen     bool                    // a valid set-up came on it
 
 	// Sequence numbers of the writes on the connection, and how far the caller is known to have read. TCP keeps
 	// the order, so an acknowledgement of an answer proves that everything before it was read.
@@ -74,13 +75,22 @@
 	return callerConns{limit: limit, conns: map[ConnID]*callerConn{}}
 }
 
-// setUpEnded records that a set-up on a connection is no longer open.
-func (cs *callerConns) setUpEnded(conn ConnID) {
-	if caller := cs.conns[conn]; caller != nil {
-		caller.openSetUps--
+// setUpEnded records that the set-up of a call is no longer open.
+func (cs *callerConns) setUpEnded(call *trackedCall) {
+	if caller := cs.conns[call.callerConnID]; caller != nil {
+		delete(caller.setUps, call.handle)
 	}
 }
 
+// openSetUps returns the calls whose set-ups are open on the connection, in the order in which they came.
+func (c *callerConn) openSetUps() []*trackedCall {
+	var calls []*trackedCall
+	for _, handle := range slices.Sorted(maps.Keys(c.setUps)) {
+		calls = append(calls, c.setUps[handle])
+	}
+	return calls
+}
+
 // setUpSeen reports whether a set-up came on a connection.
 func (cs *callerConns) setUpSeen(conn ConnID) bool {
 	caller := cs.conns[conn]
@@ -116,7 +126,7 @@
 		if caller.lastMessageAt == 0 {
 			return conn
 		}
-		if caller.openSetUps > 0 {
+		if len(caller.setUps) > 0 {
 			continue
 		}
 		readProved, idleProved := caller.lastProofAt != 0, idle != nil && idle.lastProofAt != 0
@@ -137,7 +147,7 @@
 		return "incomplete message"
 	case c.lastMessageAt == 0 && silentFor(c.openedAt) > callerMessageTimeout:
 		return "no message received"
-	case c.openSetUps == 0 && c.lastMessageAt != 0 && silentFor(c.lastMessageAt) > callerIdleTimeout:
+	case len(c.setUps) == 0 && c.lastMessageAt != 0 && silentFor(c.lastMessageAt) > callerIdleTimeout:
 		return "idle"
 	}
 	return ""
--- a/internal/b2bua/caller_release.go
+++ b/internal/b2bua/caller_release.go
@@ -197,10 +197,8 @@
 // equally good connection, and those whose last copy is too old.
 func (a *Agent) offerReleases(caller *callerConn) {
 	for release := range a.callerReleases.all() {
-		if !a.mayWrite(release, caller) {
-			continue
-		}
-		if release.offeredCopiesLeft(caller.lastProofAt != 0) > 0 && !slices.Contains(release.conns, caller.conn) && a.needsCopy(release, caller) {
+		offered := release.offeredCopiesLeft(caller.lastProofAt != 0) > 0 && a.needsCopy(release, caller) && !slices.Contains(release.conns, caller.conn)
+		if offered && a.mayWrite(release, caller) {
 			release.offeredCopies++
 			a.writeCopy(release, caller)
 		}
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -22,7 +22,7 @@
 		a.transport.Close(evicted, "connection limit reached")
 		a.CallerDisconnected(now, evicted)
 	}
-	a.callers.conns[conn] = &callerConn{conn: conn, openedAt: now}
+	a.callers.conns[conn] = &callerConn{conn: conn, openedAt: now, setUps: map[uint32]*trackedCall{}}
 	a.callers.order = append(a.callers.order, conn)
 	return true
 }
@@ -38,16 +38,13 @@
 	if i := slices.Index(a.callers.order, conn); i >= 0 {
 		a.callers.order = slices.Delete(a.callers.order, i, i+1)
 	}
-	if caller.openSetUps > 0 || len(caller.copies) > 0 {
-		a.transport.Record(Record{Kind: CallerConnEnded, Conn: conn, Reason: fmt.Sprintf("%d set-ups and %d releases pending", caller.openSetUps, len(caller.copies))})
+	openSetUps := caller.openSetUps()
+	if len(openSetUps) > 0 || len(caller.copies) > 0 {
+		a.transport.Record(Record{Kind: CallerConnEnded, Conn: conn, Reason: fmt.Sprintf("%d set-ups and %d releases pending", len(openSetUps), len(caller.copies))})
 	}
-	if caller.openSetUps > 0 {
-		for _, call := range a.matchingCalls(func(call *trackedCall) bool {
-			return call.callerConnID == conn && (call.state == Offered || call.state == Trying)
-		}) {
-			a.abandonCall(call)
-			a.callCounts.Abandoned++
-		}
+	for _, call := range openSetUps {
+		a.abandonCall(call)
+		a.callCounts.Abandoned++
 	}
 	a.rewriteReleases(caller)
 	a.flushDeferred()
@@ -64,7 +61,8 @@
 // closed. Calls that are open on it fail at once, as their caller would not receive a later answer.
 func (a *Agent) CallerMessageInvalid(now policy.Tenths, conn ConnID, msg *sip.Message, tooLong bool, reason string) {
 	a.now = now
-	if a.callers.conns[conn] == nil {
+	caller := a.callers.conns[conn]
+	if caller == nil {
 		return
 	}
 	a.callCounts.Refused++
@@ -72,7 +70,9 @@
 	if tooLong {
 		status = sip.RequestEntityTooLarge
 	}
-	a.failOpenCalls(func(call *trackedCall) bool { return call.callerConnID == conn })
+	for _, call := range caller.openSetUps() {
+		a.failCall(call)
+	}
 	refusal := msg.Response(status)
 	if _, err := parseID(msg.CallID); err != nil {
 		refusal.CallID = ""
@@ -85,14 +85,10 @@
 // FailOpenCalls fails every open call, because the process ends before more can be done for it.
 func (a *Agent) FailOpenCalls(now policy.Tenths) {
 	a.now = now
-	a.failOpenCalls(func(*trackedCall) bool { return true })
-	a.flushDeferred()
-}
-
-func (a *Agent) failOpenCalls(match func(*trackedCall) bool) {
-	for _, call := range a.matchingCalls(func(call *trackedCall) bool { return (call.state == Offered || call.state == Trying) && match(call) }) {
+	for _, call := range a.matchingCalls(func(call *trackedCall) bool { return call.state == Offered || call.state == Trying }) {
 		a.failCall(call)
 	}
+	a.flushDeferred()
 }
 
 // failCall gives an open call a final answer that it failed.
@@ -209,7 +205,7 @@
 	a.calls[call.id], a.byHandle[call.handle] = call, call
 	a.openCalls++
 	a.bodyOctets += len(call.body)
-	caller.openSetUps++
+	caller.setUps[call.handle] = call
 	a.callCounts.Accepted++
 	call.timers.deadline = a.timers.Set(call.deadline+answerMargin/3, timerCallDeadline, uint64(call.handle))
 	a.decider.Offer(a.now, parsed.request)
