One announcement makes us open and close connections to its switch for a minute at most

A call announced at a listed switch that doesn't know it never ends, and as long as one stood whose own connection is not open, a further connection to that switch was opened every 3 s and an idle one closed. TestAnnouncementOpensNoSwitchConnectionsForEver failed before (20 connections a minute, without end).

--- a/internal/b2bua/isolation_test.go
+++ b/internal/b2bua/isolation_test.go
@@ -7,6 +7,7 @@
 
 	"indigodrift/internal/board"
 	"indigodrift/internal/sip"
+	"indigodrift/policy"
 )
 
 // maxTestMessage is more than the octets of any message in these tests.
@@ -251,3 +252,27 @@
 		t.Errorf("held %+v", h.agent.switchReleases)
 	}
 }
+
+// Guards against one announcement of a call that its switch does not know, for which a further connection to the switch was
+// opened every 3 s, and another one closed, as long as the process ran.
+func TestAnnouncementOpensNoSwitchConnectionsForEver(t *testing.T) {
+	h := newHarness(t)
+	h.completeDials(9, 9)
+	conn := h.connectCaller()
+	h.agent.FromCaller(h.now, h.now, conn, announcement(idOf(7), 1))
+	pass := func(span, step policy.Tenths) (dials int) {
+		for end := h.now + span; h.now < end; {
+			h.advanceTime(step)
+			dials += len(h.dials)
+			h.completeDials(9, 9)
+		}
+		return dials
+	}
+	if dials := pass(linkLossRetention, 1000); dials < 10 { // its release may have been lost
+		t.Errorf("%d connections in the first minute", dials)
+	}
+	pass(recoveryInterval, 1000)
+	if dials := pass(linkLossRetention, 1000); dials > 0 {
+		t.Errorf("%d connections in a later minute", dials)
+	}
+}
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -48,7 +48,7 @@
 func (a *Agent) scheduleRecovery(remote *remoteSwitch) {
 	remote.nextRecoveryAt = a.now + recoveryInterval
 	for _, call := range a.calls {
-		if !call.isEstablishedAt(remote.entry.ID) {
+		if !call.isEstablishedAt(remote.entry.ID) || call.merelyAnnounced() && a.now-call.establishedAt > linkLossRetention {
 			continue
 		}
 		if ownLink := remote.findLink(call.lastTry().conn); ownLink == nil || ownLink.silent {
