Set-ups whose URI is not visible ASCII are refused

The URI goes on to the switch unchanged, and a switch that cannot read a message closes the connection, whatever else is open on it. URIs with octets outside visible ASCII are answered 400 (TestUnusableURIIsRefused failed before for such octets and for a tab).

--- a/internal/b2bua/bounded_state_test.go
+++ b/internal/b2bua/bounded_state_test.go
@@ -54,16 +54,19 @@
 	runtime.KeepAlive(h)
 }
 
-// Guards against a set-up whose URI alone would be held at the length of a whole message.
-func TestOverlongURIIsRefused(t *testing.T) {
-	h := newHarness(t)
-	h.completeDials(9, 9)
-	msg := invite(idOf(1), "voice", 1500, "dest:1;width:1;via:-1", "")
-	msg.URI += strings.Repeat("x", maxURIOctets)
-	conn := h.connectCaller()
-	h.agent.FromCaller(h.now, h.now, conn, msg)
-	if got := h.sentTo(conn); got != "400" {
-		t.Errorf("answered %q", got)
+// Guards against a set-up whose URI alone would be held at the length of a whole message, and against passing on what a
+// switch may be unable to read: it closes the connection, with the set-ups of others on it.
+func TestUnusableURIIsRefused(t *testing.T) {
+	for name, added := range map[string]string{"too long": strings.Repeat("x", maxURIOctets), "no ASCII": "\xff\x80", "a tab": "\t"} {
+		h := newHarness(t)
+		h.completeDials(9, 9)
+		msg := invite(idOf(1), "voice", 1500, "dest:1;width:1;via:-1", "")
+		msg.URI += added
+		conn := h.connectCaller()
+		h.agent.FromCaller(h.now, h.now, conn, msg)
+		if got := h.sentTo(conn); got != "400" {
+			t.Errorf("%s: answered %q", name, got)
+		}
 	}
 }
 
--- a/internal/b2bua/parse.go
+++ b/internal/b2bua/parse.go
@@ -62,8 +62,8 @@
 	if parsed.id, err = parseID(msg.CallID); err != nil {
 		return parsed, err
 	}
-	if len(msg.URI) > maxURIOctets {
-		return parsed, setUpError("request URI of %d octets", len(msg.URI))
+	if len(msg.URI) > maxURIOctets || !isVisibleASCII(msg.URI) {
+		return parsed, setUpError("request URI %.40q of %d octets", msg.URI, len(msg.URI))
 	}
 	if parsed.request.Number, err = parseID(msg.User()); err != nil {
 		return parsed, fmt.Errorf("called number: %w", err)
@@ -125,6 +125,11 @@
 	return parsed, nil
 }
 
+// isVisibleASCII reports whether a text consists of visible ASCII characters.
+func isVisibleASCII(text string) bool {
+	return strings.IndexFunc(text, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
 // boundedURI returns a copy of a request's URI, a short one in its place if it is too long to be held.
 func boundedURI(msg *sip.Message) string {
 	if len(msg.URI) > maxURIOctets {
