Four events of the notice board wait in the inbox at most

From the list of what a peer can make grow: 128 events could wait, each with up to 16,384 switches. TestFewEventsOfTheNoticeBoardWaitInTheInbox.

--- a/internal/platform/isolation_test.go
+++ b/internal/platform/isolation_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"indigodrift/internal/board"
 	"indigodrift/internal/sip"
 	"indigodrift/internal/sip/siptest"
 )
@@ -101,6 +102,27 @@
 	}
 }
 
+// Guards against a notice board that tells long lists faster than they are handled: few of them wait in the inbox.
+func TestFewEventsOfTheNoticeBoardWaitInTheInbox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newTestServer(t)
+		for range 3 * maxQueuedBoardEvents {
+			go server.postBoardEvent(board.Event{})
+		}
+		synctest.Wait()
+		queued := 0
+		for range len(server.inbox) {
+			if e := <-server.inbox; e.kind == boardEvent {
+				queued++
+			}
+		}
+		if queued != maxQueuedBoardEvents {
+			t.Errorf("%d events wait", queued)
+		}
+		server.cancelRun()
+	})
+}
+
 // newTestServer creates a controller that is not run.
 func newTestServer(t *testing.T) *Server {
 	config, err := ParseConfig(fmt.Appendf(nil, configTemplate, 256))
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -28,6 +28,9 @@
 	// quarter of a core a message takes up to 0.5 ms, and an abandoned call must be known as such within 100 ms.
 	inboxSize = 128
 
+	// maxQueuedBoardEvents bounds the events of the notice board in the inbox; one may hold the whole list of switches.
+	maxQueuedBoardEvents = 4
+
 	descriptionMemoryDivisor = 8                      // callers' descriptions may take 1/8 of the memory limit
 	maxOctetsPerCall         = 16 << 10               // highest memory use of one call; bounds the number of open calls
 	memoryTargetShare        = 0.75                   // share of the memory limit from which the garbage collector works harder
@@ -103,6 +106,7 @@
 	openConns      map[*connection]struct{}
 	writeBudget    writeBudget
 	boardAddresses chan string   // new addresses of the notice board
+	boardSlots     chan struct{} // bounds the events of the notice board that wait in the inbox: one entry each
 	listenerClosed chan struct{} // closed once no more connections are accepted
 	lastBoardEvent uint64        // number of the last notice board event
 	boardConnected bool
@@ -120,7 +124,7 @@
 	maxCallers, maxLinks := b2bua.Descriptors(config.Limits.Sockets)
 	s := &Server{config: config, dial: dial, log: log, startTime: time.Now(), inbox: make(chan event, inboxSize),
 		stopped: make(chan struct{}), callerSlots: make(chan struct{}, maxCallers+b2bua.MaxClosing), switchSlots: make(chan struct{}, maxLinks+b2bua.MaxClosing), callerConns: map[b2bua.ConnID]*connection{},
-		switchConns: map[b2bua.ConnID]*connection{}, openConns: map[*connection]struct{}{}, boardAddresses: make(chan string, 1), listenerClosed: make(chan struct{}), recordCounts: map[b2bua.RecordKind]int{}}
+		switchConns: map[b2bua.ConnID]*connection{}, openConns: map[*connection]struct{}{}, boardAddresses: make(chan string, 1), boardSlots: make(chan struct{}, maxQueuedBoardEvents), listenerClosed: make(chan struct{}), recordCounts: map[b2bua.RecordKind]int{}}
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
 	memory := config.Limits.MemoryMB << 20
 	s.writeBudget.limit = int64(memory / queueMemoryDivisor)
@@ -160,6 +164,15 @@
 	}
 }
 
+// postBoardEvent passes an event of the notice board to the event loop. It blocks while too many wait.
+func (s *Server) postBoardEvent(e board.Event) {
+	select {
+	case s.boardSlots <- struct{}{}:
+		s.post(event{kind: boardEvent, boardEvent: e})
+	case <-s.runCtx.Done():
+	}
+}
+
 // addConn registers a new connection.
 func (s *Server) addConn(netConn net.Conn) *connection {
 	s.mu.Lock()
@@ -188,7 +201,7 @@
 	})
 	s.goroutines.Go(func() {
 		client := board.Client{Dial: s.dial, Addresses: s.boardAddresses, Seed: s.config.Settings.Policy.Seed,
-			OnEvent:  func(e board.Event) { s.post(event{kind: boardEvent, boardEvent: e}) },
+			OnEvent:  s.postBoardEvent,
 			OnStatus: func(up bool, err error) { s.post(event{kind: boardStatus, connected: up, err: err}) }}
 		client.Run(s.runCtx, s.config.Board, s.lastBoardEvent)
 	})
@@ -377,6 +390,7 @@
 	case switchPartialMessage:
 		s.agent.SwitchMessagePartial(e.connID, e.readAt)
 	case boardEvent:
+		<-s.boardSlots
 		s.lastBoardEvent = e.boardEvent.Number
 		s.agent.UpdateSwitches(now, e.boardEvent)
 	case boardStatus:
