Readers yield after each message, so that a peer at full speed doesn't hold up the others

Found with the floods: usual calls were answered, but waited.

Change: readers of callers and switches yield after each message passed on.

--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"runtime/metrics"
 	"sync"
 	"time"
@@ -462,6 +463,7 @@
 			if !s.post(event{kind: callerMessage, connID: conn.id, conn: conn, message: m, readAt: s.now()}) {
 				return
 			}
+			runtime.Gosched() // a peer that sends at full speed must not use up the time slice that others wait for
 			continue
 		case errors.Is(err, sip.ErrMalformed), errors.Is(err, sip.ErrTooLong):
 			s.post(event{kind: callerMalformed, connID: conn.id, message: m, err: err})
@@ -488,6 +490,7 @@
 		case !s.post(event{kind: switchMessage, connID: conn.id, message: m}):
 			return
 		}
+		runtime.Gosched() // as in readCaller
 	}
 }
 
