--- a/internal/b2bua/bounds.go
+++ b/internal/b2bua/bounds.go
@@ -14,7 +14,7 @@
 
 // Octets of the memory limit for each entry that may be held. docs/bounds.md lists what an entry takes at most.
 const (
-	octetsPerEstablished  = 2 << 10
+	octetsPerEstablished  = 4 << 10
 	octetsPerAnnounced    = 8 << 10
 	octetsPerRetained     = 8 << 10
 	octetsPerTurnedAway   = 16 << 10
