--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -181,9 +181,29 @@
 // New creates an agent; build creates the policy, given the interface through which it acts on the agent.
 func New(settings deployment.Settings, bounds Bounds, transport Transport, now policy.Tenths,
 	build func(policy.Deployment, policy.Executor, policy.Tenths) exchange.Decider) *Agent {
-	a := &Agent{settings: settings, transport: transport, now: now, calls: map[uint64]*trackedCall{}, byHandle: map[uint32]*trackedCall{},
-		limits: bounds.callLimits(), announced: newFairQueue[*trackedCall](bounds.callLimits().announced), retained: newRetainedCalls(bounds.callLimits()), maxOpenCalls: bounds.Calls, maxBodyOctets: bounds.Octets, maxLinks: bounds.Links, switches: map[uint32]*remoteSwitch{}, switchOfLink: map[ConnID]uint32{}, closingLinks: map[ConnID]uint32{}, dialAddresses: map[uint32]string{},
-		callers: newCallerConns(bounds.Callers), silence: silenceClock{lastTickAt: now}, callerReleases: newReleaseQueue(), maintenanceAt: now + maintenanceInterval, lastKeepaliveID: settings.Policy.Seed}
+	limits := bounds.callLimits()
+	a := &Agent{
+		settings:        settings,
+		transport:       transport,
+		now:             now,
+		silence:         silenceClock{lastTickAt: now},
+		calls:           map[uint64]*trackedCall{},
+		byHandle:        map[uint32]*trackedCall{},
+		limits:          limits,
+		announced:       newFairQueue[*trackedCall](limits.announced),
+		retained:        newRetainedCalls(limits),
+		maxOpenCalls:    bounds.Calls,
+		maxBodyOctets:   bounds.Octets,
+		maxLinks:        bounds.Links,
+		switches:        map[uint32]*remoteSwitch{},
+		switchOfLink:    map[ConnID]uint32{},
+		closingLinks:    map[ConnID]uint32{},
+		dialAddresses:   map[uint32]string{},
+		callers:         newCallerConns(bounds.Callers),
+		callerReleases:  newReleaseQueue(),
+		maintenanceAt:   now + maintenanceInterval,
+		lastKeepaliveID: settings.Policy.Seed,
+	}
 	a.decider = build(settings.Policy, (*policyOutput)(a), now)
 	return a
 }
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"indigodrift/internal/board"
 	"indigodrift/policy"
 )
 
@@ -82,26 +81,3 @@
 		}
 	}
 }
-
-// handleKeepaliveTimeout handles a connection whose keepalive has timed out.
-func (a *Agent) handleKeepaliveTimeout(remote *remoteSwitch, link *switchLink) {
-	if link.silent && a.unansweredFor(link) <= silentLinkRetention {
-		return
-	}
-	a.transport.Log("connection to " + board.FormatID(remote.entry.ID) + " timed out without an answer to a keepalive")
-	if !link.messageSeen { // the waiting set-ups were never sent
-		a.endWaitingTries(remote)
-	}
-	silentLinks := 0
-	for _, other := range remote.links {
-		if other.silent {
-			silentLinks++
-		}
-	}
-	if link.lastSetUpAt >= link.lastMessageAt && link.lastSetUpAt != 0 || link.silent || silentLinks >= maxSilentLinks {
-		a.closeLink(remote, link, "keepalive timeout", false)
-		return
-	}
-	link.silent = true
-	a.linkLost(remote, link)
-}
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -6,30 +6,10 @@
 
 	"indigodrift/internal/board"
 	"indigodrift/internal/reconnect"
-	"indigodrift/internal/sip"
 	"indigodrift/policy"
 )
 
 const (
-	// A connection to a switch is probed with an OPTIONS keepalive when it opens, after keepaliveInterval without a
-	// message, and after busyKeepaliveInterval while a set-up is out on it. The process at the other end answers at
-	// once, so the answer takes one round-trip time, which each keepalive measures. After half of keepaliveRoundTrips
-	// round trips without an answer the connection takes no new set-up and another one is opened; after all of them it
-	// counts as lost. Keeping a dead connection longer recovers nothing, and its set-ups make the switch look slow.
-	keepaliveInterval       = policy.Tenths(8000)
-	busyKeepaliveInterval   = policy.Tenths(600)
-	keepaliveRoundTrips     = 4
-	minKeepaliveTimeout     = policy.Tenths(1200)  // tolerates a short stall of the switch
-	initialKeepaliveTimeout = policy.Tenths(6000)  // before the first round trip is measured
-	maxKeepaliveTimeout     = policy.Tenths(20000) // on a slow network, connections must not be closed again and again
-
-	// silentLinkRetention is how long a silent connection is kept if no set-up was written on it since its last
-	// message; one with set-ups is closed, which abandons them. A switch that hung and recovers still sends its
-	// pending messages on the old connection, and connections that are closed and opened meanwhile would only queue
-	// up in front of it.
-	silentLinkRetention = peerTimeout
-	maxSilentLinks      = 2 // per switch; silent connections beyond these are closed and replaced
-
 	// switchMessageTimeout is how long a message of a switch may take to become complete, as it blocks the messages
 	// behind it.
 	switchMessageTimeout = policy.Tenths(3000)
@@ -76,40 +56,6 @@
 	sentReleases    []sentRelease // releases written on it recently
 }
 
-// unansweredFor returns how long the answer to a keepalive has been missing, 0 if none is expected.
-func (a *Agent) unansweredFor(link *switchLink) policy.Tenths {
-	if link.unansweredSince == 0 {
-		return 0
-	}
-	return a.silentFor(link.unansweredSince)
-}
-
-// keepaliveTimeout returns the keepalive timeout of the connections to a switch.
-func (rs *remoteSwitch) keepaliveTimeout() policy.Tenths {
-	if !rs.roundTripMeasured {
-		return initialKeepaliveTimeout
-	}
-	return min(maxKeepaliveTimeout, max(minKeepaliveTimeout, keepaliveRoundTrips*rs.roundTrip))
-}
-
-// isSuspect reports whether a connection should take no new messages.
-func (a *Agent) isSuspect(remote *remoteSwitch, link *switchLink) bool {
-	return a.unansweredFor(link) > remote.keepaliveTimeout()/2
-}
-
-// keepaliveAnswered handles the answer to a keepalive. Only the last keepalive counts, as an answer to an earlier one
-// would measure too short a time. The estimate is the longest round trip measured, decayed by an eighth with each
-// further measurement.
-func (a *Agent) keepaliveAnswered(remote *remoteSwitch, link *switchLink, id string) {
-	if link.keepaliveID == "" || id != link.keepaliveID {
-		return
-	}
-	// The switch has read the releases that were sent before the keepalive.
-	a.setSent(link, slices.DeleteFunc(link.sentReleases, func(sent sentRelease) bool { return sent.sentAt < link.keepaliveSentAt }))
-	remote.roundTrip = max(a.now-link.keepaliveSentAt, remote.roundTrip-remote.roundTrip/8)
-	remote.roundTripMeasured, link.keepaliveID = true, ""
-}
-
 // remoteSwitch is one listed switch and the connections to it.
 type remoteSwitch struct {
 	entry           board.Switch
@@ -363,27 +309,6 @@
 	a.closingLinks[link.conn] = remote.entry.ID
 }
 
-// disconnectCalls ends the calls that were established at a switch before the given time, as their releases cannot
-// come any more.
-func (a *Agent) disconnectCalls(remote *remoteSwitch, before policy.Tenths, reason string) {
-	calls := a.matchingCalls(func(call *trackedCall) bool {
-		return call.isEstablishedAt(remote.entry.ID) && call.establishedAt < before
-	})
-	if len(calls) > 0 {
-		a.transport.Log(fmt.Sprintf("%d calls established at %s count as disconnected: %s", len(calls), board.FormatID(remote.entry.ID), reason))
-	}
-	for _, call := range calls {
-		a.releaseCaller(call, causeTemporaryFailure)
-		a.endCall(call, policy.Disconnected, noReport)
-	}
-}
-
-// sendKeepalive sends a keepalive on a connection.
-func (a *Agent) sendKeepalive(link *switchLink) {
-	link.keepaliveSentAt, link.keepaliveID = a.now, a.newKeepaliveID()
-	a.transport.Write(link.conn, &sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: link.keepaliveID, CSeq: 1})
-}
-
 // maintainLinks maintains the connections to all switches.
 func (a *Agent) maintainLinks() {
 	for _, id := range a.switchOrder {
@@ -436,78 +361,3 @@
 		a.sendWaiting(remote)
 	}
 }
-
-// startTime returns the start time of a switch, 0 if none is reported.
-func startTime(entry board.Switch) policy.Tenths { return policy.Tenths(max(0, entry.StartedMS)) * 10 }
-
-// Bootstrap handles the events that are known at the start, all of them before anything is dialled: a connection for
-// an entry that a later event replaces would open at the address of the new switch and be closed at once.
-func (a *Agent) Bootstrap(now policy.Tenths, events []board.Event) {
-	a.starting = true
-	for _, event := range events {
-		a.UpdateSwitches(now, event)
-	}
-	a.starting = false
-	a.maintainLinks()
-	a.flushDeferred()
-}
-
-// UpdateSwitches handles an event of the notice board.
-func (a *Agent) UpdateSwitches(now policy.Tenths, event board.Event) {
-	a.now = now
-	listed := map[uint32]bool{}
-	var list []policy.Switch
-	for _, entry := range event.Switches {
-		listed[entry.ID] = true
-		list = append(list, policy.Switch{ID: entry.ID, Number: entry.Exchange, Ready: entry.State == board.Ready,
-			Draining: entry.State == board.Draining, BootAt: startTime(entry)})
-	}
-	a.decider.ListReceived(now, event.Complete, list)
-	if event.Complete {
-		for _, id := range slices.Clone(a.switchOrder) {
-			if !listed[id] {
-				a.removeSwitch(a.switches[id])
-			}
-		}
-	}
-	for _, entry := range event.Switches {
-		remote := a.switches[entry.ID]
-		if entry.State == board.Gone {
-			if remote != nil {
-				remote.entry.State = entry.State
-				a.removeSwitch(remote)
-			}
-			continue
-		}
-		if remote == nil {
-			remote = &remoteSwitch{entry: entry, lastMessageAt: now, nextDialAt: now}
-			remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
-			a.switches[entry.ID] = remote
-			a.switchOrder = append(a.switchOrder, entry.ID)
-		}
-		restarted := startTime(remote.entry) != startTime(entry)
-		moved := remote.entry.Address != entry.Address
-		remote.entry = entry
-		if restarted || moved { // a new process: connections and calls of the previous one are over
-			remote.dialID, remote.dialing, remote.nextDialAt = 0, false, now
-			a.closeLinks(remote, "the switch restarted", func(link *switchLink) bool { return moved || link.openedAt < startTime(entry) })
-			a.disconnectCalls(remote, startTime(entry), "the switch restarted")
-		}
-		if entry.State == board.Draining {
-			a.endWaitingTries(remote)
-		}
-	}
-	a.maintainLinks()
-	a.flushDeferred()
-}
-
-// removeSwitch removes a switch that is gone.
-func (a *Agent) removeSwitch(remote *remoteSwitch) {
-	remote.entry.State = board.Gone
-	a.endWaitingTries(remote)
-	a.closeLinks(remote, "the switch is gone", func(*switchLink) bool { return true })
-	a.disconnectCalls(remote, a.now+1, "the switch is gone")
-	a.setPending(remote, nil)
-	delete(a.switches, remote.entry.ID)
-	a.switchOrder = slices.DeleteFunc(a.switchOrder, func(id uint32) bool { return id == remote.entry.ID })
-}
--- /dev/null
+++ b/internal/b2bua/switch_list.go
@@ -0,0 +1,100 @@
+package b2bua
+
+import (
+	"fmt"
+	"slices"
+
+	"indigodrift/internal/board"
+	"indigodrift/internal/reconnect"
+	"indigodrift/policy"
+)
+
+// disconnectCalls ends the calls that were established at a switch before the given time, as their releases cannot
+// come any more.
+func (a *Agent) disconnectCalls(remote *remoteSwitch, before policy.Tenths, reason string) {
+	calls := a.matchingCalls(func(call *trackedCall) bool {
+		return call.isEstablishedAt(remote.entry.ID) && call.establishedAt < before
+	})
+	if len(calls) > 0 {
+		a.transport.Log(fmt.Sprintf("%d calls established at %s count as disconnected: %s", len(calls), board.FormatID(remote.entry.ID), reason))
+	}
+	for _, call := range calls {
+		a.releaseCaller(call, causeTemporaryFailure)
+		a.endCall(call, policy.Disconnected, noReport)
+	}
+}
+
+// startTime returns the start time of a switch, 0 if none is reported.
+func startTime(entry board.Switch) policy.Tenths { return policy.Tenths(max(0, entry.StartedMS)) * 10 }
+
+// Bootstrap handles the events that are known at the start, all of them before anything is dialled: a connection for
+// an entry that a later event replaces would open at the address of the new switch and be closed at once.
+func (a *Agent) Bootstrap(now policy.Tenths, events []board.Event) {
+	a.starting = true
+	for _, event := range events {
+		a.UpdateSwitches(now, event)
+	}
+	a.starting = false
+	a.maintainLinks()
+	a.flushDeferred()
+}
+
+// UpdateSwitches handles an event of the notice board.
+func (a *Agent) UpdateSwitches(now policy.Tenths, event board.Event) {
+	a.now = now
+	listed := map[uint32]bool{}
+	var list []policy.Switch
+	for _, entry := range event.Switches {
+		listed[entry.ID] = true
+		list = append(list, policy.Switch{ID: entry.ID, Number: entry.Exchange, Ready: entry.State == board.Ready,
+			Draining: entry.State == board.Draining, BootAt: startTime(entry)})
+	}
+	a.decider.ListReceived(now, event.Complete, list)
+	if event.Complete {
+		for _, id := range slices.Clone(a.switchOrder) {
+			if !listed[id] {
+				a.removeSwitch(a.switches[id])
+			}
+		}
+	}
+	for _, entry := range event.Switches {
+		remote := a.switches[entry.ID]
+		if entry.State == board.Gone {
+			if remote != nil {
+				remote.entry.State = entry.State
+				a.removeSwitch(remote)
+			}
+			continue
+		}
+		if remote == nil {
+			remote = &remoteSwitch{entry: entry, lastMessageAt: now, nextDialAt: now}
+			remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
+			a.switches[entry.ID] = remote
+			a.switchOrder = append(a.switchOrder, entry.ID)
+		}
+		restarted := startTime(remote.entry) != startTime(entry)
+		moved := remote.entry.Address != entry.Address
+		remote.entry = entry
+		if restarted || moved { // a new process: connections and calls of the previous one are over
+			remote.dialID, remote.dialing, remote.nextDialAt = 0, false, now
+			a.closeLinks(remote, "the switch restarted", func(link *switchLink) bool { return moved || link.openedAt < startTime(entry) })
+			a.disconnectCalls(remote, startTime(entry), "the switch restarted")
+		}
+		if entry.State == board.Draining {
+			a.endWaitingTries(remote)
+		}
+	}
+	a.maintainLinks()
+	a.flushDeferred()
+}
+
+// removeSwitch removes a switch that is gone.
+func (a *Agent) removeSwitch(remote *remoteSwitch) {
+	remote.entry.State = board.Gone
+	a.endWaitingTries(remote)
+	a.closeLinks(remote, "the switch is gone", func(*switchLink) bool { return true })
+	a.disconnectCalls(remote, a.now+1, "the switch is gone")
+	a.setPending(remote, nil)
+	delete(a.switches, remote.entry.ID)
+	a.switchOrder = slices.DeleteFunc(a.switchOrder, func(id uint32) bool { return id == remote.entry.ID })
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -9,9 +9,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
-	"runtime"
-	"runtime/metrics"
 	"sync"
 	"time"
 
@@ -123,9 +120,23 @@
 func New(config Config, build func(policy.Deployment, policy.Executor, policy.Tenths) exchange.Decider, dial Dialer,
 	log *slog.Logger) *Server {
 	maxCallers, maxLinks := b2bua.Descriptors(config.Limits.Sockets)
-	s := &Server{config: config, dial: dial, log: log, startTime: time.Now(), inbox: make(chan event, inboxSize),
-		stopped: make(chan struct{}), callerSlots: make(chan struct{}, maxCallers+b2bua.MaxClosing), switchSlots: make(chan struct{}, maxLinks+b2bua.MaxClosing), callerConns: map[b2bua.ConnID]*connection{},
-		switchConns: map[b2bua.ConnID]*connection{}, openConns: map[*connection]struct{}{}, boardAddresses: make(chan string, 1), boardSlots: make(chan struct{}, maxQueuedBoardEvents), listenerClosed: make(chan struct{}), recordCounts: map[b2bua.RecordKind]int{}}
+	s := &Server{
+		config:         config,
+		dial:           dial,
+		log:            log,
+		startTime:      time.Now(),
+		inbox:          make(chan event, inboxSize),
+		stopped:        make(chan struct{}),
+		callerSlots:    make(chan struct{}, maxCallers+b2bua.MaxClosing),
+		switchSlots:    make(chan struct{}, maxLinks+b2bua.MaxClosing),
+		callerConns:    map[b2bua.ConnID]*connection{},
+		switchConns:    map[b2bua.ConnID]*connection{},
+		openConns:      map[*connection]struct{}{},
+		boardAddresses: make(chan string, 1),
+		boardSlots:     make(chan struct{}, maxQueuedBoardEvents),
+		listenerClosed: make(chan struct{}),
+		recordCounts:   map[b2bua.RecordKind]int{},
+	}
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
 	memory := config.Limits.MemoryMB << 20
 	s.writeBudget.limit = int64(memory / queueMemoryDivisor)
@@ -329,14 +340,6 @@
 	}
 }
 
-// stopAccepting stops a listener after it has accepted the connections that the kernel has queued: closing it at once would reset
-// these, and a set-up on one of them counts as accepted.
-func stopAccepting(ln net.Listener) {
-	if listener, ok := ln.(interface{ SetDeadline(time.Time) error }); !ok || listener.SetDeadline(time.Now().Add(finalAcceptTimeout)) != nil {
-		ln.Close()
-	}
-}
-
 // detectStall counts a stall if the event loop woke too long after due.
 func (s *Server) detectStall(due policy.Tenths) {
 	if s.stall.Woke(s.now(), due) {
@@ -403,97 +406,6 @@
 	}
 }
 
-// acceptCallers accepts connections of callers until the listener closes. While no slot is free, further connections wait in the
-// kernel's queue.
-func (s *Server) acceptCallers(ln net.Listener) {
-	for {
-		select {
-		case s.callerSlots <- struct{}{}:
-		case <-s.stopped:
-			return
-		}
-		netConn, err := ln.Accept()
-		if err != nil {
-			<-s.callerSlots
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				ln.Close()
-				return
-			}
-			select { // out of descriptors, or the connection broke before it was accepted
-			case <-time.After(5 * time.Millisecond):
-				continue
-			case <-s.stopped:
-				return
-			}
-		}
-		conn := s.addConn(netConn)
-		if !s.post(event{kind: callerConnected, connID: conn.id, conn: conn}) {
-			s.removeConn(conn)
-			<-s.callerSlots
-			return
-		}
-		s.serveConn(conn, s.readCaller, s.callerSlots)
-	}
-}
-
-// serveConn starts the writer and the reader of a connection. Its slot is free again once the connection is closed.
-func (s *Server) serveConn(conn *connection, read func(*connection), slots <-chan struct{}) {
-	s.goroutines.Go(conn.writeLoop)
-	s.goroutines.Go(func() {
-		read(conn)
-		s.removeConn(conn)
-		<-slots
-	})
-}
-
-// readCaller reads a caller's messages until its connection ends.
-func (s *Server) readCaller(conn *connection) {
-	reader := sip.NewReader(conn.netConn)
-	reader.OnPartial = func() { s.post(event{kind: callerPartialMessage, connID: conn.id, readAt: s.now()}) }
-	for {
-		m, err := reader.Read()
-		switch {
-		// While the connection is being closed here, only releases and their answers still count.
-		case err == nil && conn.isClosing() && m.Method != sip.Bye && m.CSeqMethod != sip.Bye:
-			continue
-		case err == nil:
-			if m.Method == sip.Cancel {
-				conn.addCancel(m.CallID)
-			}
-			if !s.post(event{kind: callerMessage, connID: conn.id, conn: conn, message: m, readAt: s.now()}) {
-				return
-			}
-			runtime.Gosched() // a peer that sends at full speed must not use up the time slice that others wait for
-			continue
-		case errors.Is(err, sip.ErrMalformed), errors.Is(err, sip.ErrTooLong):
-			s.post(event{kind: callerMalformed, connID: conn.id, message: m, err: err})
-			// Discards further input until the answer is written and the connection closed.
-			io.Copy(io.Discard, conn.netConn) //nolint:errcheck // only the end of the stream matters
-		}
-		conn.inputEnded.Store(true)
-		s.post(event{kind: callerDisconnected, connID: conn.id, err: err})
-		return
-	}
-}
-
-// readSwitch reads a switch's messages until its connection ends.
-func (s *Server) readSwitch(conn *connection) {
-	reader := sip.NewReader(conn.netConn)
-	reader.OnPartial = func() { s.post(event{kind: switchPartialMessage, connID: conn.id, readAt: s.now()}) }
-	for {
-		m, err := reader.Read()
-		switch {
-		case err != nil:
-			s.post(event{kind: switchDisconnected, connID: conn.id, err: err})
-			return
-		// Messages are passed on also while the connection is being closed, since a release may cross the close.
-		case !s.post(event{kind: switchMessage, connID: conn.id, message: m}):
-			return
-		}
-		runtime.Gosched() // as in readCaller
-	}
-}
-
 // reload applies a new configuration. Only the address of the notice board can change in service.
 func (s *Server) reload(config Config) {
 	if config.Board != s.config.Board {
@@ -507,57 +419,3 @@
 	s.config.Board = config.Board
 	s.log.Info("configuration reloaded")
 }
-
-// warn logs a warning, within the limit between two summaries.
-func (s *Server) warn(text string) {
-	if s.allowWarning() {
-		s.log.Warn(text)
-	}
-}
-
-// allowWarning reports whether one more warning may be logged before the next summary.
-func (s *Server) allowWarning() bool {
-	if s.warningCount++; s.warningCount > maxWarningsPerSummary {
-		s.suppressed++
-		return false
-	}
-	return true
-}
-
-// logSummary logs the controller's counters and its view of the switches, to be compared with the traffic on the sockets.
-func (s *Server) logSummary() {
-	counts, openCalls, establishedCalls, retained, callers, lateness := s.agent.Counts()
-	releases, tries := s.agent.ReleaseCounts(), s.agent.TryCounts()
-	memory := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(memory)
-	s.log.Info("summary", "taken", counts.Accepted, "stood", counts.Established, "blocked", counts.Blocked, "aborted", counts.Aborted, "left", counts.Abandoned,
-		"refused", counts.Refused, "released", counts.Released, "cut", counts.Disconnected, "crossed", counts.CancelCrossed, "open", openCalls, "standing", establishedCalls, "over", retained,
-		"callers", callers, "descriptors", len(s.callerConns)+len(s.switchConns), "far", s.agent.SwitchStatuses(), "list", s.lastBoardEvent,
-		"board", s.boardConnected, "late_ms", float64(lateness)/10, "stood_still", s.stalls,
-		"memory_kb", (memory[0].Value.Uint64()-memory[1].Value.Uint64())>>10, "unsaid", s.suppressed,
-		slog.Group("releases", "written", releases.Written, "repeated", releases.Repeated, "unanswered", releases.Unanswered, "confirmed", releases.Confirmed,
-			"late", releases.Late, "dropped", releases.Dropped, "unknown", releases.Unknown, "waiting", releases.Pending, "oldest_ms", float64(releases.OldestAge)/10),
-		slog.Group("tries", "written", tries.Written, "again", tries.Retries, "stood", tries.Answered, "refused", tries.Refused, "timed_out", tries.TimedOut,
-			"cancelled", tries.Cancelled, "lost", tries.Lost, "reset", tries.Reset, "answered_late", tries.AnsweredLate),
-		s.heldGroup())
-	s.warningCount, s.suppressed, s.stalls = 0, 0, 0
-	clear(s.recordCounts)
-}
-
-// heldGroup returns the log attributes of what the controller holds on account of its peers.
-func (s *Server) heldGroup() slog.Attr {
-	held := s.agent.Held()
-	callerOctets, switchOctets := queuedOctets(s.callerConns), queuedOctets(s.switchConns)
-	return slog.Group("held", "timers", held.Timers, "retained_calls", held.RetainedCalls, "release_copies", held.ReleaseCopies, "switches", held.Switches,
-		"sent_releases", held.SentReleases, "caller_queue_octets", callerOctets, "switch_queue_octets", switchOctets, "policy_calls", held.Policy.Calls,
-		"rejected_numbers", held.Policy.RejectedNumbers, "destinations", held.Policy.Destinations, "policy_switches", held.Policy.Switches)
-}
-
-// queuedOctets returns the octets queued on connections.
-func queuedOctets(conns map[b2bua.ConnID]*connection) int {
-	total := 0
-	for _, conn := range conns {
-		total += conn.queuedOctets()
-	}
-	return total
-}
