Exchange: timers of ended calls are stopped

Related path of the timers on the platform: an exchange in service kept the timers of a call that had ended until its caller would have abandoned it, so that the queue grew with the rate of calls.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -162,6 +162,8 @@
 	answerReported bool           // its final answer was reported
 	startTime      policy.Tenths
 	abandonTime    policy.Tenths
+	abandonTimer   *due.Timer
+	tryTimer       *due.Timer
 	tryDeadline    policy.Tenths // when the current try times out
 	tries          int
 	switchID       uint32     // the switch of the current try
@@ -307,8 +309,8 @@
 // Drain makes the exchange refuse every new call from now on.
 func (x *Exchange) Drain() { x.draining = true }
 
-func (x *Exchange) schedule(at policy.Tenths, kind due.Kind, token uint64) {
-	x.timers.Set(at, kind, token)
+func (x *Exchange) schedule(at policy.Tenths, kind due.Kind, token uint64) *due.Timer {
+	return x.timers.Set(at, kind, token)
 }
 
 // Tick handles all timers that have expired.
@@ -431,6 +433,8 @@
 		return
 	}
 	if next == Ended {
+		x.timers.Stop(call.abandonTimer)
+		x.timers.Stop(call.tryTimer)
 		delete(x.calls, call.id)
 		x.store.Drop(call.id)
 		x.releaseNumbering(call)
--- a/internal/exchange/executor.go
+++ b/internal/exchange/executor.go
@@ -41,7 +41,8 @@
 	}
 	call.out = callLeg{Hop{Side: Succeeding, Peer: i}, assigned}
 	x.setState(call, Trying)
-	x.schedule(call.tryDeadline, dueTryTimeout, uint64(id))
+	x.timers.Stop(call.tryTimer)
+	call.tryTimer = x.schedule(call.tryDeadline, dueTryTimeout, uint64(id))
 	x.sendSetUp(call)
 }
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -270,7 +270,7 @@
 	if in.hop.Side == Line {
 		x.callByLine[lineKey{in.hop.Point, in.circuits.CIC}] = call.id
 	}
-	x.schedule(call.abandonTime+answerMargin/2, dueAbandon, uint64(call.id)) // after the time-out of a try at the same time
+	call.abandonTimer = x.schedule(call.abandonTime+answerMargin/2, dueAbandon, uint64(call.id)) // after the time-out of a try at the same time
 	switch {
 	case msg.UserInfo.Present&isup.PartRoute != 0 && transit: // the originating exchange's table applies in every exchange
 		call.tableVersion = msg.UserInfo.TableVersion
