--- a/cmd/indigodrift/flood_test.go
+++ b/cmd/indigodrift/flood_test.go
@@ -110,6 +110,50 @@
 	}
 }
 
+// switchFloods are what a faulty switch sends at full speed on its connection.
+var switchFloods = []flood{
+	{name: "releases of unknown calls", messages: func(id string) []sip.Message { return []sip.Message{siptest.Release(id, 16)} }},
+	{name: "answers to unknown calls", messages: func(id string) []sip.Message {
+		return []sip.Message{{Status: sip.OK, CallID: id, CSeq: 1, CSeqMethod: sip.Invite, Body: make([]byte, 15<<10)}}
+	}},
+	{name: "reports of its load", messages: func(string) []sip.Message { return []sip.Message{siptest.LoadReport(50, 50)} }},
+	{name: "tests", messages: func(id string) []sip.Message {
+		return []sip.Message{{Method: sip.Options, URI: "sip:ping@net", CallID: id, CSeq: 1}}
+	}},
+}
+
+// Guards against a switch that brings the controller over its memory limit or makes it close the connections of callers.
+func TestFloodsOfASwitchHarmNoCaller(t *testing.T) {
+	for _, f := range switchFloods {
+		t.Run(f.name, func(t *testing.T) {
+			env := newPlatformNet(t)
+			env.memoryMB = floodMemoryMB
+			process := env.start(1, fmt.Sprintf(`{"rev":1,"pool":{"reset":true,"instances":[{"cell":1,"hostPort":%q,"instanceId":"s-000000a1","lifecycle":"in_service"},
+{"cell":2,"hostPort":%q,"instanceId":"s-000000a2","lifecycle":"in_service"}]}}`, env.switches[0].Addr(), env.switches[1].Addr()))
+			go answerSetUps(env.switches[0])
+			conn, err := env.switches[1].Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond) // the load report of the other switch is read
+			stop := make(chan struct{})
+			var flooding sync.WaitGroup
+			var sent atomic.Uint64
+			flooding.Go(func() { f.runOn(conn, 1<<32, &sent, stop) })
+			peakKB := &atomic.Int64{}
+			go samplePeak(process, peakKB, stop)
+			usual := env.caller()
+			calls := placeCalls(t, usual, floodDuration)
+			close(stop)
+			flooding.Wait()
+			if peakKB.Load() > floodMemoryMB<<10 {
+				t.Errorf("%d KiB of %d KiB used", peakKB.Load(), floodMemoryMB<<10)
+			}
+			t.Logf("%d messages of the switch, %d usual calls, %d KiB", sent.Load(), calls, peakKB.Load())
+		})
+	}
+}
+
 // placeCalls places one call after the other and fails the test if one is not answered in time. It returns their number.
 func placeCalls(t *testing.T, caller *siptest.Peer, duration time.Duration) (calls int) {
 	for end := time.Now().Add(duration); time.Now().Before(end); calls++ {
