Releases and retained calls: one peer displaces its own, not those of others

Releases that a switch sent for unknown calls shared one queue with those of calls set up here, and the oldest of all was dropped: 8,192 of them dropped the release of a usual call, whose caller was never told. Calls that are over shared one queue as well: a switch that releases unknown calls, or a caller that sends set-ups and cancels them, made the agent forget a call that another switch may still answer, and that call was left standing there.

Cause: only announced calls had a limit of their own, a special case beside the common queue. Change: the fair queue is the one mechanism. Three classes of releases (set up here, foreign, announced) and three of calls that are over each have one, with a table of limits for the releases. Within a class the connection that would have most loses its oldest. Copies are counted by class, and foreign releases stop at 64 KiB of backlog. Calls weigh by their tries, in place of a count of tries beside the count of calls.

--- a/internal/b2bua/announced.go
+++ b/internal/b2bua/announced.go
@@ -29,14 +29,13 @@
 	if remote.nextRecoveryAt == 0 {
 		remote.nextRecoveryAt = a.now + recoveryInterval
 	}
-	place, displaced, full := a.announced.add(caller.conn, call)
-	call.announcement = place
-	switch {
-	case place == nil:
+	place, displaced := a.announced.add(caller.conn, call)
+	if call.announcement = place; place == nil {
 		a.endAnnounced(call)
-	case full:
-		displaced.announcement = nil
-		a.endAnnounced(displaced)
+	}
+	for _, other := range displaced {
+		other.announcement = nil
+		a.endAnnounced(other)
 	}
 }
 
--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -89,7 +89,7 @@
 	bearerType   string
 	cseq         uint32 // of the caller's set-up
 	body         []byte // the caller's session description, until the call is established
-	foreign      bool   // not set up here: a switch released it, but this process does not know it
+	foreignFrom  ConnID // connection on which a switch released it, though this process does not know it; 0 for all others
 	deadline     policy.Tenths
 	tries        []*routeTry // in the order of their numbers; an adopted call has only the one that established it
 	adopted      bool
--- a/internal/b2bua/bounds.go
+++ b/internal/b2bua/bounds.go
@@ -17,6 +17,7 @@
 	octetsPerEstablished  = 4 << 10
 	octetsPerAnnounced    = 8 << 10
 	octetsPerRetained     = 8 << 10
+	octetsPerForeign      = 16 << 10
 	octetsPerTurnedAway   = 16 << 10
 	minLimitOfHeldEntries = 256
 )
@@ -25,7 +26,8 @@
 type callLimits struct {
 	established int // answered by a switch; further set-ups are refused
 	announced   int // announced by callers as established, but not set up here
-	retained    int // over, and known to a switch
+	retained    int // over, and set up here at a switch
+	foreign     int // over, released by a switch, but not known here
 	turnedAway  int // over, and known to no switch
 }
 
@@ -36,7 +38,8 @@
 		memory = defaultMemory
 	}
 	limit := func(octetsPerEntry int) int { return max(minLimitOfHeldEntries, memory/octetsPerEntry) }
-	return callLimits{established: limit(octetsPerEstablished), announced: limit(octetsPerAnnounced), retained: limit(octetsPerRetained), turnedAway: limit(octetsPerTurnedAway)}
+	return callLimits{established: limit(octetsPerEstablished), announced: limit(octetsPerAnnounced), retained: limit(octetsPerRetained),
+		foreign: limit(octetsPerForeign), turnedAway: limit(octetsPerTurnedAway)}
 }
 
 // MaxClosing is how many connections of each kind may be closing in addition to those that are held.
--- a/internal/b2bua/caller_release.go
+++ b/internal/b2bua/caller_release.go
@@ -20,24 +20,15 @@
 	fastRounds                = 5                    // rounds within callerReleaseLimit
 	slowRoundInterval         = policy.Tenths(10000) // of later rounds
 	maxCopiesPerRound         = 8
-	maxRoundCopies            = 32                    // per release, in rounds and when connections end
-	maxOfferedCopies          = 32                    // further copies, on connections that send set-ups later
-	maxProvedCopies           = 64                    // and on connections whose callers prove to read
 	writtenReleaseRetention   = policy.Tenths(100000) // retention of a release after its first copy on a connection with set-ups
 	unwrittenReleaseRetention = policy.Tenths(600000) // and after its arrival, while there is no such connection
 
 	// stallReadDelay is how long answers may lie unread after a stall of this process. It postpones a round once.
 	stallReadDelay = policy.Tenths(500)
 
-	// A copy is only written on a connection on which no more than this waits to be written, so that releases never fill
-	// the queue of a connection with set-ups of others. The release itself stays pending.
-	maxReleaseBacklog   = 128 << 10 // octets
-	maxAnnouncedBacklog = 32 << 10  // octets, for a call that was merely announced
-
 	// announcedOwnSpan is how long the release of a call that was merely announced goes to the connection of the announcement
 	// alone, if that is open.
-	announcedOwnSpan   = 2 * releaseRoundInterval
-	maxAnnouncedCopies = 8 // of the release of a call that was merely announced, in place of the figures above
+	announcedOwnSpan = 2 * releaseRoundInterval
 )
 
 // releaseCopy is a copy of a release written on a connection.
@@ -56,45 +47,21 @@
 		a.removeRelease(before)
 	}
 	call.callerNotified = true
-	release := &pendingRelease{call: call, cause: max(cause, 0), receivedAt: a.now, announced: call.merelyAnnounced()}
+	release := newPendingRelease(call, cause, a.now)
 	excess := a.callerReleases.add(release)
 	a.writeRound(release)
-	if excess != nil {
-		a.dropRelease(excess, "too many unconfirmed releases")
+	for _, dropped := range excess {
+		a.dropRelease(dropped, "too many unconfirmed releases")
 	}
 }
 
 // mayWrite reports whether a copy of a release may be written on a connection.
 func (a *Agent) mayWrite(release *pendingRelease, caller *callerConn) bool {
-	if release.copies > 0 && a.callerReleases.copies >= maxReleaseCopies {
+	limits := release.limits()
+	if release.copies > 0 && a.callerReleases.copies[release.class] >= limits.copies {
 		return false
 	}
-	limit := maxReleaseBacklog
-	if release.announced {
-		limit = maxAnnouncedBacklog
-	}
-	return a.transport.Backlog(caller.conn) <= limit
-}
-
-// roundCopiesLeft returns how many more copies of a release may be written in rounds and when connections end.
-func (r *pendingRelease) roundCopiesLeft() int {
-	if r.announced {
-		return max(0, maxAnnouncedCopies-r.roundCopies)
-	}
-	return max(0, maxRoundCopies-r.roundCopies)
-}
-
-// offeredCopiesLeft returns how many more copies of a release may be written on connections about which something new is
-// known.
-func (r *pendingRelease) offeredCopiesLeft(proved bool) int {
-	limit := maxOfferedCopies
-	if proved {
-		limit += maxProvedCopies
-	}
-	if r.announced {
-		limit = maxAnnouncedCopies
-	}
-	return max(0, limit-r.offeredCopies)
+	return a.transport.Backlog(caller.conn) <= limits.backlog
 }
 
 // releaseRoundDue writes the next round of an unconfirmed release.
@@ -132,7 +99,7 @@
 	if release.rounds == 0 && len(candidates) > 0 && candidates[0].suspect(a.now) {
 		copies++
 	}
-	if release.announced && a.now-release.receivedAt < announcedOwnSpan && len(candidates) > 0 && candidates[0].conn == release.call.callerConnID {
+	if release.class == releaseOfAnnounced && a.now-release.receivedAt < announcedOwnSpan && len(candidates) > 0 && candidates[0].conn == release.call.callerConnID {
 		candidates = candidates[:1]
 	}
 	a.writeCopies(release, candidates, copies)
@@ -158,7 +125,7 @@
 		release.waitLogged = true
 		a.transport.Record(Record{Kind: ReleasePending, CallID: release.call.callID, Switch: release.call.lastSwitch(), Reason: "no open caller connection"})
 	}
-	copies = min(copies, release.roundCopiesLeft())
+	copies = min(copies, release.limits().rounds-release.roundCopies)
 	for _, caller := range candidates {
 		if copies <= 0 {
 			return
@@ -187,7 +154,7 @@
 	}
 	a.transport.Record(Record{Kind: kind, CallID: call.callID, Conn: caller.conn, Switch: call.lastSwitch(), Cause: release.cause, Copies: release.copies, Waited: a.now - release.receivedAt})
 	release.conns = append(release.conns, caller.conn)
-	a.callerReleases.copies++
+	a.callerReleases.copies[release.class]++
 	caller.lastSeq++
 	caller.copies = append(caller.copies, releaseCopy{release: release, seq: caller.lastSeq, writtenAt: a.now})
 	a.transport.Write(caller.conn, a.newRelease(call.callID, call.uri, release.cause))
@@ -197,7 +164,7 @@
 // equally good connection, and those whose last copy is too old.
 func (a *Agent) offerReleases(caller *callerConn) {
 	for release := range a.callerReleases.all() {
-		offered := release.offeredCopiesLeft(caller.lastProofAt != 0) > 0 && a.needsCopy(release, caller) && !slices.Contains(release.conns, caller.conn)
+		offered := release.mayOffer(caller.lastProofAt != 0) && a.needsCopy(release, caller) && !slices.Contains(release.conns, caller.conn)
 		if offered && a.mayWrite(release, caller) {
 			release.offeredCopies++
 			a.writeCopy(release, caller)
@@ -219,8 +186,8 @@
 	for _, written := range caller.copies {
 		release := written.release
 		release.conns = slices.DeleteFunc(release.conns, func(conn ConnID) bool { return conn == caller.conn })
+		a.callerReleases.copies[release.class]--
 	}
-	a.callerReleases.copies -= len(caller.copies)
 	if !caller.setUpSeen { // the rounds continue without it; many connections ending at once would use up all copies
 		return
 	}
@@ -254,7 +221,7 @@
 func (a *Agent) removeRelease(release *pendingRelease) {
 	a.timers.Stop(release.roundTimer)
 	a.callerReleases.remove(release)
-	a.callerReleases.copies -= a.callers.forgetCopies(release)
+	a.callerReleases.copies[release.class] -= a.callers.forgetCopies(release)
 }
 
 // handleReadProof handles a proof that a caller has read its connection up to a sequence number. This confirms the
@@ -268,8 +235,8 @@
 	}
 	readCopies := slices.Clone(caller.copies[:n])
 	caller.copies = slices.Delete(caller.copies, 0, n)
-	a.callerReleases.copies -= n
 	for _, written := range readCopies {
+		a.callerReleases.copies[written.release.class]--
 		if call := written.release.call; call.callerConnID == caller.conn {
 			a.confirmRelease(call)
 		}
--- a/internal/b2bua/fair_queue.go
+++ b/internal/b2bua/fair_queue.go
@@ -9,23 +9,31 @@
 	"slices"
 )
 
-// fairQueue holds entries that came on account of connections, within a common limit. When it is full, the connection
-// with the most entries loses one of them, so that a peer that floods the queue displaces its own entries and not those
-// of others.
+// fairQueue holds entries that came on account of connections, within a limit of their common weight. When it is full, the
+// connection whose entries weigh most loses its oldest ones, so that a peer that floods the queue displaces its own entries
+// and not those of others.
 type fairQueue[T any] struct {
-	limit   int
-	length  int
-	origins map[ConnID]*origin
-	largest originHeap
+	limit    int
+	weight   int
+	length   int
+	origins  map[ConnID]*origin
+	heaviest originHeap
 }
 
 // origin is a connection with its entries, oldest first.
 type origin struct {
 	conn    ConnID
-	entries list.List
+	entries list.List // of fairItem
+	weight  int
 	index   int // in the heap
 }
 
+// fairItem is an entry with its weight.
+type fairItem[T any] struct {
+	value  T
+	weight int
+}
+
 // fairEntry is the place of an entry in a fairQueue.
 type fairEntry struct {
 	origin  *origin
@@ -36,41 +44,73 @@
 	return fairQueue[T]{limit: limit, origins: map[ConnID]*origin{}}
 }
 
-// add adds an entry on account of a connection and returns its place. If the queue is full, it first removes and returns
-// the oldest entry of the connection with the most entries. It adds nothing and returns nil if no connection has more
-// entries than the new one's.
-func (q *fairQueue[T]) add(conn ConnID, value T) (place *fairEntry, removed T, full bool) {
-	if q.length >= q.limit {
-		most := q.largest[0]
-		if own := q.origins[conn]; most.entries.Len() <= 1 || own != nil && own.entries.Len() == most.entries.Len() && own != most {
-			return nil, removed, true
+// add adds an entry of weight 1, as addWeighted does.
+func (q *fairQueue[T]) add(conn ConnID, value T) (place *fairEntry, displaced []T) {
+	return q.addWeighted(conn, value, 1)
+}
+
+// addWeighted adds an entry on account of a connection and returns its place. If the queue is full, it first removes and
+// returns the oldest entries of the connection whose entries would weigh most. It adds nothing and returns no place if that
+// is the new entry's connection, which has no other.
+func (q *fairQueue[T]) addWeighted(conn ConnID, value T, weight int) (place *fairEntry, displaced []T) {
+	for q.length > 0 && q.weight+weight > q.limit {
+		loser, ownWeight := q.heaviest[0], weight
+		own := q.origins[conn]
+		if own != nil {
+			ownWeight += own.weight
 		}
-		removed, full = most.entries.Front().Value.(T), true
-		q.remove(&fairEntry{most, most.entries.Front()})
+		if ownWeight >= loser.weight {
+			loser = own
+		}
+		if loser == nil {
+			return nil, displaced
+		}
+		displaced = append(displaced, q.removeOldest(loser))
 	}
 	from := q.origins[conn]
 	if from == nil {
 		from = &origin{conn: conn}
 		q.origins[conn] = from
-		heap.Push(&q.largest, from)
+		heap.Push(&q.heaviest, from)
 	}
-	place = &fairEntry{from, from.entries.PushBack(value)}
+	place = &fairEntry{from, from.entries.PushBack(fairItem[T]{value, weight})}
 	q.length++
-	heap.Fix(&q.largest, from.index)
-	return place, removed, full
+	q.addWeight(from, weight)
+	return place, displaced
 }
 
 // remove removes an entry.
 func (q *fairQueue[T]) remove(place *fairEntry) {
 	from := place.origin
-	from.entries.Remove(place.element)
+	item := from.entries.Remove(place.element).(fairItem[T])
 	q.length--
-	if from.entries.Len() > 0 {
-		heap.Fix(&q.largest, from.index)
-		return
+	if q.addWeight(from, -item.weight); from.entries.Len() == 0 {
+		heap.Remove(&q.heaviest, from.index)
+		delete(q.origins, from.conn)
+	}
+}
+
+func (q *fairQueue[T]) addWeight(from *origin, weight int) {
+	q.weight += weight
+	from.weight += weight
+	heap.Fix(&q.heaviest, from.index)
+}
+
+// removeOldest removes and returns the oldest entry of a connection.
+func (q *fairQueue[T]) removeOldest(from *origin) T {
+	oldest := from.entries.Front()
+	value := oldest.Value.(fairItem[T]).value
+	q.remove(&fairEntry{from, oldest})
+	return value
+}
+
+// removeWhile removes the oldest entries of each connection as long as they match, and passes them to removed.
+func (q *fairQueue[T]) removeWhile(match func(T) bool, removed func(T)) {
+	for _, from := range q.origins {
+		for from.entries.Len() > 0 && match(from.entries.Front().Value.(fairItem[T]).value) {
+			removed(q.removeOldest(from))
+		}
 	}
-	heap.Remove(&q.largest, from.index)
-	delete(q.origins, from.conn)
 }
 
 // all yields the entries by connection, in the order of the connections, and for each the oldest first. The present one may
@@ -84,7 +124,7 @@
 			}
 			for element := from.entries.Front(); element != nil; {
 				next := element.Next()
-				if !yield(element.Value.(T)) {
+				if !yield(element.Value.(fairItem[T]).value) {
 					return
 				}
 				element = next
@@ -93,12 +133,12 @@
 	}
 }
 
-// originHeap implements heap.Interface, the connection with the most entries first.
+// originHeap implements heap.Interface, the connection whose entries weigh most first.
 type originHeap []*origin
 
 func (h originHeap) Len() int { return len(h) }
 func (h originHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[j].entries.Len(), h[i].entries.Len()), cmp.Compare(h[i].conn, h[j].conn)) < 0
+	return cmp.Or(cmp.Compare(h[j].weight, h[i].weight), cmp.Compare(h[i].conn, h[j].conn)) < 0
 }
 
 func (h originHeap) Swap(i, j int) {
--- a/internal/b2bua/harness_test.go
+++ b/internal/b2bua/harness_test.go
@@ -470,3 +470,11 @@
 	}
 	return strings.Join(names, " ")
 }
+
+// copyCount returns the number of copies that the queue counts, of all classes.
+func (q *releaseQueue) copyCount() (total int) {
+	for _, copies := range q.copies {
+		total += copies
+	}
+	return total
+}
--- a/internal/b2bua/isolation_test.go
+++ b/internal/b2bua/isolation_test.go
@@ -126,8 +126,8 @@
 	h.advanceTime(callerReleaseLimit)
 	check := func() {
 		t.Helper()
-		if held := h.agent.Held().ReleaseCopies; held != h.agent.callerReleases.copies || held > maxReleaseCopies {
-			t.Fatalf("%d copies held, %d counted", held, h.agent.callerReleases.copies)
+		if held := h.agent.Held().ReleaseCopies; held != h.agent.callerReleases.copyCount() || held > maxReleaseCopies {
+			t.Fatalf("%d copies held, %d counted", held, h.agent.callerReleases.copyCount())
 		}
 	}
 	check()
@@ -136,8 +136,8 @@
 	}
 	check()
 	h.advanceTime(unwrittenReleaseRetention + writtenReleaseRetention)
-	if check(); h.agent.callerReleases.copies != 0 {
-		t.Errorf("%d copies counted in the end", h.agent.callerReleases.copies)
+	if check(); h.agent.callerReleases.copyCount() != 0 {
+		t.Errorf("%d copies counted in the end", h.agent.callerReleases.copyCount())
 	}
 }
 
--- a/internal/b2bua/retention.go
+++ b/internal/b2bua/retention.go
@@ -2,72 +2,62 @@
 
 import "indigodrift/policy"
 
-// endedRetention is how long calls that are over are retained.
-const endedRetention = policy.Tenths(100000)
+const (
+	// endedRetention is how long calls that are over are retained.
+	endedRetention = policy.Tenths(100000)
 
-// callQueue holds calls that are over, oldest first.
-type callQueue struct {
-	calls []*trackedCall
-	limit int
-	tries int // of these calls
-}
-
-// maxTriesPerRetained is how many tries calls that are over may have on average, if their queue is full.
-const maxTriesPerRetained = 4
+	// triesPerWeight is how many tries of a call weigh as much as one more call.
+	triesPerWeight = 4
+)
 
-// add adds a call.
-func (q *callQueue) add(call *trackedCall) {
-	q.calls = append(q.calls, call)
-	q.tries += len(call.tries)
-}
-
-// overfull reports whether the oldest call must be removed.
-func (q *callQueue) overfull() bool {
-	return len(q.calls) > q.limit || len(q.calls) > 1 && q.tries > q.limit*maxTriesPerRetained
+// retainedCalls holds calls that are over, since late messages may refer to them. Each kind has a limit of its own, and
+// within it a connection displaces its own calls first: however many calls a peer ends, no call of another is forgotten that
+// a switch may still answer or release.
+type retainedCalls struct {
+	knownToSwitch fairQueue[*trackedCall] // set up here at a switch
+	foreign       fairQueue[*trackedCall] // released by a switch, but not known here
+	turnedAway    fairQueue[*trackedCall] // known to no switch from here
 }
 
-func (q *callQueue) removeOldest() *trackedCall {
-	oldest := q.calls[0]
-	q.calls[0] = nil
-	q.calls = q.calls[1:]
-	q.tries -= len(oldest.tries)
-	return oldest
+func newRetainedCalls(limits callLimits) retainedCalls {
+	return retainedCalls{knownToSwitch: newFairQueue[*trackedCall](limits.retained), foreign: newFairQueue[*trackedCall](limits.foreign),
+		turnedAway: newFairQueue[*trackedCall](limits.turnedAway)}
 }
 
-// retainedCalls holds calls that are over, since late messages may refer to them. Calls that no switch knows, such as
-// those that were turned away at once, have a queue of their own: however many they are, they displace no call that a
-// switch may still answer or release.
-type retainedCalls struct {
-	knownToSwitch callQueue
-	turnedAway    callQueue
+// queueOf returns the queue of a call and the connection on whose account it is held.
+func (r *retainedCalls) queueOf(call *trackedCall) (*fairQueue[*trackedCall], ConnID) {
+	switch {
+	case call.foreignFrom != 0:
+		return &r.foreign, call.foreignFrom
+	case call.reachedSwitch():
+		return &r.knownToSwitch, call.callerConnID
+	}
+	return &r.turnedAway, call.callerConnID
 }
 
-func newRetainedCalls(limits callLimits) retainedCalls {
-	return retainedCalls{knownToSwitch: callQueue{limit: limits.retained}, turnedAway: callQueue{limit: limits.turnedAway}}
+func (r *retainedCalls) len() int {
+	return r.knownToSwitch.length + r.foreign.length + r.turnedAway.length
 }
 
-func (r *retainedCalls) len() int { return len(r.knownToSwitch.calls) + len(r.turnedAway.calls) }
-
-// retain retains a call that is over. The oldest one is forgotten if there are too many.
+// retain retains a call that is over. Older ones are forgotten if there are too many.
 func (a *Agent) retain(call *trackedCall) {
 	call.endedAt = a.now
 	a.calls[call.id] = call
-	queue := &a.retained.turnedAway
-	if call.knownToSwitch() {
-		queue = &a.retained.knownToSwitch
+	queue, conn := a.retained.queueOf(call)
+	place, displaced := queue.addWeighted(conn, call, 1+len(call.tries)/triesPerWeight)
+	if place == nil {
+		a.forget(call)
 	}
-	queue.add(call)
-	for queue.overfull() {
-		a.forget(queue.removeOldest())
+	for _, other := range displaced {
+		a.forget(other)
 	}
 }
 
 // purgeEnded forgets the calls whose retention has expired.
 func (a *Agent) purgeEnded() {
-	for _, queue := range []*callQueue{&a.retained.knownToSwitch, &a.retained.turnedAway} {
-		for len(queue.calls) > 0 && a.now-queue.calls[0].endedAt > endedRetention {
-			a.forget(queue.removeOldest())
-		}
+	expired := func(call *trackedCall) bool { return a.now-call.endedAt > endedRetention }
+	for _, queue := range []*fairQueue[*trackedCall]{&a.retained.knownToSwitch, &a.retained.foreign, &a.retained.turnedAway} {
+		queue.removeWhile(expired, a.forget)
 	}
 }
 
--- a/internal/b2bua/route_try.go
+++ b/internal/b2bua/route_try.go
@@ -104,9 +104,9 @@
 	return 0
 }
 
-// knownToSwitch reports whether any switch may know the call from this process, or has released it.
-func (tc *trackedCall) knownToSwitch() bool {
-	return tc.foreign || slices.ContainsFunc(tc.tries, func(try *routeTry) bool { return try.conn != 0 })
+// reachedSwitch reports whether a set-up of the call was written to any switch.
+func (tc *trackedCall) reachedSwitch() bool {
+	return slices.ContainsFunc(tc.tries, func(try *routeTry) bool { return try.conn != 0 })
 }
 
 // isEstablishedAt reports whether a call is established at a switch.
--- a/internal/b2bua/switch_release.go
+++ b/internal/b2bua/switch_release.go
@@ -26,7 +26,7 @@
 	case call == nil: // established before this process started: its caller must be released all the same
 		a.releaseCounts.Unknown++
 		a.transport.Record(Record{Kind: ReleaseUnknown, CallID: msg.CallID, Switch: remote.entry.ID, Cause: cause})
-		call = &trackedCall{id: id, callID: strings.Clone(msg.CallID), uri: boundedURI(msg), state: Ended, foreign: true}
+		call = &trackedCall{id: id, callID: strings.Clone(msg.CallID), uri: boundedURI(msg), state: Ended, foreignFrom: conn}
 		a.retain(call)
 		a.releaseCaller(call, cause)
 	// The earlier tries of an adopted call are not known, so it may have reached any switch.
