Exchange: timers of the decider are stopped with their call

The twin that the last change of the exchange's timers left out: its decider's timers stayed after the end of a call, while those on the platform were stopped. Both hold them in a due.Group now, which takes the place of the list in internal/b2bua. TestEndedCallLeavesNoTimerOfTheDecider failed before.

--- a/internal/b2bua/call_timers.go
+++ b/internal/b2bua/call_timers.go
@@ -1,8 +1,6 @@
 package b2bua
 
 import (
-	"slices"
-
 	"indigodrift/internal/due"
 	"indigodrift/policy"
 )
@@ -11,9 +9,9 @@
 // leave nothing in the timer queue, however long their callers were ready to wait.
 type callTimers struct {
 	deadline *due.Timer
-	try      *due.Timer   // the timeout of the present try
-	heldTry  *due.Timer   // the end of the release time before the present try
-	policy   []*due.Timer // set by the policy
+	try      *due.Timer // the timeout of the present try
+	heldTry  *due.Timer // the end of the release time before the present try
+	policy   due.Group  // set by the policy
 }
 
 // setTryTimeout sets the timeout of the present try of a call.
@@ -32,12 +30,10 @@
 func (a *Agent) setPolicyTimer(at policy.Tenths, token uint64) {
 	timer := a.timers.Set(at, timerPolicyWake, token)
 	if call := a.byHandle[uint32(token)]; call != nil && uint64(call.handle) == token {
-		call.timers.policy = append(slices.DeleteFunc(call.timers.policy, expired), timer)
+		call.timers.policy.Add(timer)
 	}
 }
 
-func expired(timer *due.Timer) bool { return !timer.Pending() }
-
 // stopTryTimers stops the timers of a call's try, which has ended.
 func (a *Agent) stopTryTimers(call *trackedCall) {
 	a.timers.Stop(call.timers.try)
@@ -49,8 +45,6 @@
 func (a *Agent) stopCallTimers(call *trackedCall) {
 	a.stopTryTimers(call)
 	a.timers.Stop(call.timers.deadline)
-	for _, timer := range call.timers.policy {
-		a.timers.Stop(timer)
-	}
+	call.timers.policy.Stop(&a.timers)
 	call.timers = callTimers{}
 }
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -3,6 +3,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"indigodrift/policy"
 )
@@ -72,6 +73,22 @@
 	return heap.Pop(&q.timers).(*Timer).item, true
 }
 
+// Group is a set of timers that are stopped together. The zero value is empty.
+type Group struct{ timers []*Timer }
+
+// Add adds a timer to the group and forgets those that have left their queue.
+func (g *Group) Add(timer *Timer) {
+	g.timers = append(slices.DeleteFunc(g.timers, func(other *Timer) bool { return !other.Pending() }), timer)
+}
+
+// Stop stops all timers of the group and empties it.
+func (g *Group) Stop(q *Queue) {
+	for _, timer := range g.timers {
+		q.Stop(timer)
+	}
+	g.timers = nil
+}
+
 // timers implements heap.Interface. Each timer knows its index.
 type timers []*Timer
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -164,6 +164,7 @@
 	abandonTime    policy.Tenths
 	abandonTimer   *due.Timer
 	tryTimer       *due.Timer
+	deciderTimers  due.Group
 	tryDeadline    policy.Tenths // when the current try times out
 	tries          int
 	switchID       uint32     // the switch of the current try
@@ -435,6 +436,7 @@
 	if next == Ended {
 		x.timers.Stop(call.abandonTimer)
 		x.timers.Stop(call.tryTimer)
+		call.deciderTimers.Stop(&x.timers)
 		delete(x.calls, call.id)
 		x.store.Drop(call.id)
 		x.releaseNumbering(call)
--- a/internal/exchange/executor.go
+++ b/internal/exchange/executor.go
@@ -86,7 +86,11 @@
 
 // SetTimer schedules a call of Decider.TimerExpired.
 func (e *executor) SetTimer(at policy.Tenths, token uint64) {
-	(*Exchange)(e).schedule(at, dueDeciderTimer, token)
+	x := (*Exchange)(e)
+	timer := x.schedule(at, dueDeciderTimer, token)
+	if call := x.calls[uint32(token)]; call != nil && uint64(call.id) == token {
+		call.deciderTimers.Add(timer)
+	}
 }
 
 // Subscribe requests the list of switches.
