The list of switches is bounded by the memory limit

The one map in docs/bounds.md without a bound: changes from the notice board could add switches without end, here and in the policy. Beyond one switch for each 16 KiB of memory_mb (4,096 at 64 MB) new ones are left out of the event for both, and a line is logged; those in use stay. TestSwitchesBeyondTheLimitAreLeftOut failed before. TestReleasesOfOwnCallsHeldForSwitchesAreBounded fills two bounds that only announced calls had filled; it passes on the code before as well.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -148,7 +148,7 @@
 	calls            map[uint64]*trackedCall
 	byHandle         map[uint32]*trackedCall
 	retained         retainedCalls
-	limits           callLimits
+	limits           heldLimits
 	announced        fairQueue[*trackedCall] // established calls that callers announced, within their limit
 	openCalls        int                     // calls that are neither established nor ended
 	establishedCalls int
@@ -181,7 +181,7 @@
 // New creates an agent; build creates the policy, given the interface through which it acts on the agent.
 func New(settings deployment.Settings, bounds Bounds, transport Transport, now policy.Tenths,
 	build func(policy.Deployment, policy.Executor, policy.Tenths) exchange.Decider) *Agent {
-	limits := bounds.callLimits()
+	limits := bounds.heldLimits()
 	a := &Agent{
 		settings:        settings,
 		transport:       transport,
--- a/internal/b2bua/bounded_state_test.go
+++ b/internal/b2bua/bounded_state_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
+	"indigodrift/internal/board"
 	"indigodrift/internal/sip"
 )
 
@@ -145,3 +147,60 @@
 		t.Errorf("%d calls established", h.agent.callCounts.Established)
 	}
 }
+
+// Guards against a notice board that lists switches without end: those beyond the limit are left out, and those in use stay.
+func TestSwitchesBeyondTheLimitAreLeftOut(t *testing.T) {
+	h := newSmallHarness(t)
+	entries := func(first, count int, state board.State) (list []board.Switch) {
+		for n := range count {
+			list = append(list, board.Switch{ID: uint32(first + n), Exchange: first + n, Address: "10.9.0.1:1", State: state})
+		}
+		return list
+	}
+	check := func(when string, want int) {
+		t.Helper()
+		held := h.agent.Held()
+		if held.Switches != want || held.Policy.Switches > 1024 {
+			t.Fatalf("%s: %d switches are held, want %d; the policy holds %d", when, held.Switches, want, held.Policy.Switches)
+		}
+	}
+	h.updateSwitches(false, entries(100, 2*minLimitOfHeldEntries, board.Ready)...)
+	check("after the flood", minLimitOfHeldEntries)
+	if !slices.ContainsFunc(h.logged, func(line string) bool { return strings.Contains(line, "left out") }) {
+		t.Error("nothing was logged")
+	}
+	h.updateSwitches(false, entries(100, 10, board.Gone)...)
+	check("after some are gone", minLimitOfHeldEntries-10)
+	h.updateSwitches(false, entries(5000, 20, board.Ready)...)
+	check("after new ones", minLimitOfHeldEntries)
+	if h.agent.switches[5000] == nil || h.agent.switches[5019] != nil {
+		t.Error("not the first of the new ones are held")
+	}
+	complete := append(entries(7000, 2*minLimitOfHeldEntries, board.Ready), entries(5000, 5, board.Ready)...)
+	h.updateSwitches(true, complete...)
+	if check("after a complete list", minLimitOfHeldEntries); h.agent.switches[5004] == nil {
+		t.Error("a listed switch in use was left out")
+	}
+}
+
+// Guards against releases to switches that are held without a bound for calls set up here, not only for announced ones.
+func TestReleasesOfOwnCallsHeldForSwitchesAreBounded(t *testing.T) {
+	h := newHarness(t)
+	h.completeDials(9, 9)
+	link := h.agent.switches[1].findLink(h.mustLinkTo(1))
+	for n := range maxSentReleases + 100 {
+		h.agent.writeRelease(link, switchRelease{callID: idOf(n), uri: "sip:x@net", cause: causeNormal})
+	}
+	sent := link.sentReleases
+	if len(sent) != maxSentReleases || sent[len(sent)-1].release.callID != idOf(maxSentReleases+99) || sent[0].release.callID != idOf(100) {
+		t.Fatalf("%d releases are remembered, the first %s", len(sent), sent[0].release.callID)
+	}
+	h.disconnectLink(link.conn)
+	if h.agent.switchReleases != (switchReleaseCounts{pending: maxPendingReleases}) || !slices.ContainsFunc(h.logged, func(line string) bool { return strings.Contains(line, "release dropped") }) {
+		t.Fatalf("held %+v", h.agent.switchReleases)
+	}
+	h.completeDials(9, 9)
+	if h.agent.switchReleases.pending != 0 {
+		t.Errorf("held %+v after a new connection", h.agent.switchReleases)
+	}
+}
--- a/internal/b2bua/bounds.go
+++ b/internal/b2bua/bounds.go
@@ -19,27 +19,29 @@
 	octetsPerRetained     = 8 << 10
 	octetsPerForeign      = 16 << 10
 	octetsPerTurnedAway   = 16 << 10
+	octetsPerSwitch       = 16 << 10
 	minLimitOfHeldEntries = 256
 )
 
-// callLimits limits the calls that are held although none of their callers waits for an answer.
-type callLimits struct {
+// heldLimits limits the calls that are held although none of their callers waits for an answer, and the switches.
+type heldLimits struct {
 	established int // answered by a switch; further set-ups are refused
 	announced   int // announced by callers as established, but not set up here
 	retained    int // over, and set up here at a switch
 	foreign     int // over, released by a switch, but not known here
 	turnedAway  int // over, and known to no switch
+	switches    int // listed
 }
 
-// callLimits returns the limits for the memory of the process.
-func (b Bounds) callLimits() callLimits {
+// heldLimits returns the limits for the memory of the process.
+func (b Bounds) heldLimits() heldLimits {
 	memory := b.Memory
 	if memory == 0 {
 		memory = defaultMemory
 	}
 	limit := func(octetsPerEntry int) int { return max(minLimitOfHeldEntries, memory/octetsPerEntry) }
-	return callLimits{established: limit(octetsPerEstablished), announced: limit(octetsPerAnnounced), retained: limit(octetsPerRetained),
-		foreign: limit(octetsPerForeign), turnedAway: limit(octetsPerTurnedAway)}
+	return heldLimits{established: limit(octetsPerEstablished), announced: limit(octetsPerAnnounced), retained: limit(octetsPerRetained),
+		foreign: limit(octetsPerForeign), turnedAway: limit(octetsPerTurnedAway), switches: limit(octetsPerSwitch)}
 }
 
 // MaxClosing is how many connections of each kind may be closing in addition to those that are held.
--- a/internal/b2bua/retention.go
+++ b/internal/b2bua/retention.go
@@ -19,7 +19,7 @@
 	turnedAway    fairQueue[*trackedCall] // known to no switch from here
 }
 
-func newRetainedCalls(limits callLimits) retainedCalls {
+func newRetainedCalls(limits heldLimits) retainedCalls {
 	return retainedCalls{knownToSwitch: newFairQueue[*trackedCall](limits.retained), foreign: newFairQueue[*trackedCall](limits.foreign),
 		turnedAway: newFairQueue[*trackedCall](limits.turnedAway)}
 }
--- a/internal/b2bua/switch_list.go
+++ b/internal/b2bua/switch_list.go
@@ -42,6 +42,7 @@
 // UpdateSwitches handles an event of the notice board.
 func (a *Agent) UpdateSwitches(now policy.Tenths, event board.Event) {
 	a.now = now
+	event.Switches = a.withinSwitchLimit(event)
 	listed := map[uint32]bool{}
 	var list []policy.Switch
 	for _, entry := range event.Switches {
@@ -88,6 +89,33 @@
 	a.flushDeferred()
 }
 
+// withinSwitchLimit returns the entries of an event without new switches beyond the limit.
+func (a *Agent) withinSwitchLimit(event board.Event) []board.Switch {
+	isNew := func(entry board.Switch) bool { return a.switches[entry.ID] == nil && entry.State != board.Gone }
+	room := a.limits.switches - len(a.switches)
+	if event.Complete { // switches that are not listed are removed
+		room = a.limits.switches
+		for _, entry := range event.Switches {
+			if a.switches[entry.ID] != nil {
+				room--
+			}
+		}
+	}
+	var kept []board.Switch
+	for _, entry := range event.Switches {
+		if isNew(entry) {
+			if room--; room < 0 {
+				continue
+			}
+		}
+		kept = append(kept, entry)
+	}
+	if room < 0 {
+		a.transport.Log(fmt.Sprintf("%d switches of the list are left out, as %d are held at most", -room, a.limits.switches))
+	}
+	return kept
+}
+
 // removeSwitch removes a switch that is gone.
 func (a *Agent) removeSwitch(remote *remoteSwitch) {
 	remote.entry.State = board.Gone
