--- a/cmd/indigodrift/flood_test.go
+++ b/cmd/indigodrift/flood_test.go
@@ -90,22 +90,7 @@
 			process := env.start(1, knownSwitches(env.switches[0].Addr().String()))
 			go answerSetUps(env.switches[0])
 			time.Sleep(100 * time.Millisecond) // the load report of the switch is read
-			stop := make(chan struct{})
-			var clients sync.WaitGroup
-			var sent atomic.Uint64
-			for n := range floodClients {
-				clients.Go(func() { f.run(env.listen, uint64(n+1)<<32, &sent, stop) })
-			}
-			peakKB := &atomic.Int64{}
-			go samplePeak(process, peakKB, stop)
-			usual := env.caller()
-			calls := placeCalls(t, usual, floodDuration)
-			close(stop)
-			clients.Wait()
-			if peakKB.Load() > floodMemoryMB<<10 {
-				t.Errorf("%d KiB of %d KiB used", peakKB.Load(), floodMemoryMB<<10)
-			}
-			t.Logf("%d messages of bad clients, %d usual calls, %d KiB", sent.Load(), calls, peakKB.Load())
+			env.checkUnderFlood(process, floodClients, func(n int, sent *atomic.Uint64, stop <-chan struct{}) { f.run(env.listen, uint64(n+1)<<32, sent, stop) })
 		})
 	}
 }
@@ -136,24 +121,32 @@
 				t.Fatal(err)
 			}
 			time.Sleep(100 * time.Millisecond) // the load report of the other switch is read
-			stop := make(chan struct{})
-			var flooding sync.WaitGroup
-			var sent atomic.Uint64
-			flooding.Go(func() { f.runOn(conn, 1<<32, &sent, stop) })
-			peakKB := &atomic.Int64{}
-			go samplePeak(process, peakKB, stop)
-			usual := env.caller()
-			calls := placeCalls(t, usual, floodDuration)
-			close(stop)
-			flooding.Wait()
-			if peakKB.Load() > floodMemoryMB<<10 {
-				t.Errorf("%d KiB of %d KiB used", peakKB.Load(), floodMemoryMB<<10)
-			}
-			t.Logf("%d messages of the switch, %d usual calls, %d KiB", sent.Load(), calls, peakKB.Load())
+			env.checkUnderFlood(process, 1, func(_ int, sent *atomic.Uint64, stop <-chan struct{}) { f.runOn(conn, 1<<32, sent, stop) })
 		})
 	}
 }
 
+// checkUnderFlood runs flooders, and fails the test if the controller exceeds its memory limit meanwhile or does not answer
+// the calls of a usual caller.
+func (n *platformNet) checkUnderFlood(process *exec.Cmd, flooders int, flood func(n int, sent *atomic.Uint64, stop <-chan struct{})) {
+	n.t.Helper()
+	stop := make(chan struct{})
+	var flooding sync.WaitGroup
+	var sent atomic.Uint64
+	for i := range flooders {
+		flooding.Go(func() { flood(i, &sent, stop) })
+	}
+	peakKB := &atomic.Int64{}
+	go samplePeak(process, peakKB, stop)
+	calls := placeCalls(n.t, n.caller(), floodDuration)
+	close(stop)
+	flooding.Wait()
+	if peakKB.Load() > int64(n.memoryMB)<<10 {
+		n.t.Errorf("%d KiB of %d KiB used", peakKB.Load(), n.memoryMB<<10)
+	}
+	n.t.Logf("%d messages of the flood, %d usual calls, %d KiB", sent.Load(), calls, peakKB.Load())
+}
+
 // placeCalls places one call after the other and fails the test if one is not answered in time. It returns their number.
 func placeCalls(t *testing.T, caller *siptest.Peer, duration time.Duration) (calls int) {
 	for end := time.Now().Add(duration); time.Now().Before(end); calls++ {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -93,3 +93,13 @@
 		t.Error("three of the longest spans cannot be added")
 	}
 }
+
+// Guards against settings that allow a call any number of tries, each of which is held until the call is forgotten.
+func TestTriesOfACallAreBounded(t *testing.T) {
+	for _, limits := range []string{`{}`, `{"max_attempts":0}`, `{"max_attempts":1e6}`} {
+		s, err := Parse([]byte(`{"policy_limits":` + limits + `,` + minimalSettings[1:]))
+		if err != nil || s.Policy.MaxTries != maxTries {
+			t.Errorf("%s: %d tries, %v", limits, s.Policy.MaxTries, err)
+		}
+	}
+}
