--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 test -x bin/standin-2 && test -x bin/indigodrift || { echo "build first: the deploy file, then review/build-2.sh"; exit 2; }
-exec bin/standin-2 successor "$folder"
+exec bin/standin-2 announced "$folder"
--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -136,6 +136,51 @@
 	return broken
 }
 
+// playAnnounced: a controller is killed and a call ends before it is back; the first new connection to its switch, on which the switch
+// writes the release, is reset while new. Then the caller announces the call. VARIANT=kill and VARIANT=reset play one of the two alone.
+func playAnnounced(r *run) bool {
+	all := r.newSwitches(switchCount)
+	a := all[0]
+	ctl := r.newController("n0", r.newBoard(entries(all)...))
+	time.Sleep(500 * time.Millisecond)
+	c := r.newCaller("caller", ctl)
+	made := c.setUp(callID(1), a.exchange, "")
+	c.mustStand(made, r.since()+3*time.Second)
+	start := r.since()
+	r.until(start + 2*time.Second)
+	kill, reset := r.trouble && r.variant != "reset", r.trouble && r.variant != "kill"
+	if kill {
+		ctl.kill()
+		time.Sleep(200 * time.Millisecond)
+	}
+	if reset && !kill {
+		a.releaseAndReset(made.id, 1)
+	} else if r.trouble {
+		a.release(made.id, "16")
+	}
+	if reset && kill {
+		a.resetNext(made.id, 1)
+	}
+	if kill {
+		time.Sleep(300 * time.Millisecond)
+		ctl.startUp()
+		time.Sleep(time.Second)
+		c.setUp(made.id, a.exchange, ";at:"+board.FormatID(a.id))
+	}
+	for n := range 20 {
+		time.Sleep(500 * time.Millisecond)
+		c.setUp(callID(100+n), 1+n%2, "")
+	}
+	limit := deadlineOfRelease
+	if !r.trouble {
+		a.release(made.id, "16")
+		limit = time.Second + slack
+	}
+	broken := !r.releasedInTime(c, made, a.endedAt(made.id), limit)
+	ctl.showLog(12)
+	return broken
+}
+
 // playResets: a release goes down with the connection on which it was written, and its repetition with the next one.
 func playResets(r *run) bool {
 	all := r.newSwitches(switchCount)
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -31,7 +31,8 @@
 
 var cases = map[string]func(*run) (broken bool){
 	"quiet":     playQuiet,
-	"successor": playSuccessor,
+	"successor": playSuccessor, // played by hand only
+	"announced": playAnnounced,
 	"resets":    playResets,
 	"spoilt":    playSpoilt,
 	"hung":      playHung,
