--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -13,7 +13,7 @@
 const deadlineOfRelease = 8*time.Second + slack
 
 // secondHang is how long the switch hangs for the second time; the pages let it hang for 5 to 25 s.
-const secondHang = 5100 * time.Millisecond
+const secondHang = 5200 * time.Millisecond
 
 // switchCount is the number of switches of a small deployment; the own exchange is one more.
 const switchCount = 5
@@ -270,23 +270,23 @@
 	c.mustStand(first, r.since()+3*time.Second)
 	talk(time.Second)
 	if r.trouble {
-		go a.hang(6 * time.Second)
+		go a.hang(8 * time.Second)
 	}
-	talk(10 * time.Second)
+	talk(12 * time.Second)
 	made := c.setUp(callID(1), a.exchange, "")
 	c.mustStand(made, r.since()+3*time.Second)
-	talk(15 * time.Second)
+	talk(17 * time.Second)
 	if r.trouble {
 		go a.hang(secondHang, made.id)
 	}
-	talk(15*time.Second + secondHang + 200*time.Millisecond)
+	talk(17*time.Second + secondHang + 200*time.Millisecond)
 	limit := deadlineOfRelease
 	if !r.trouble {
 		a.release(made.id, "16")
 		limit = time.Second + slack
 	}
 	ended := a.endedAt(made.id)
-	talk(30 * time.Second)
+	talk(32 * time.Second)
 	broken := !r.releasedInTime(c, made, ended, limit)
 	ctl.showLog(40)
 	return broken
