--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -164,7 +164,9 @@
 	if kill {
 		time.Sleep(300 * time.Millisecond)
 		ctl.startUp()
-		time.Sleep(time.Second)
+	}
+	time.Sleep(time.Second)
+	if c.look(made).releasedAt == 0 { // a caller may announce what the call controller already holds
 		c.setUp(made.id, a.exchange, ";at:"+board.FormatID(a.id))
 	}
 	for n := range 20 {
--- a/review/_standin-2/controller.go
+++ b/review/_standin-2/controller.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -44,7 +45,6 @@
 // newController reserves an address for a call controller and starts it.
 func (r *run) newController(name string, b *noticeBoard) *controller {
 	c := &controller{run: r, name: name, listen: r.freeAddress(), board: b}
-	r.ctl = append(r.ctl, c)
 	c.startUp()
 	return c
 }
@@ -109,7 +109,11 @@
 		r.giveUp("start: %v", err)
 	}
 	exited := make(chan struct{})
-	c.cmd, c.exited = cmd, exited
+	r.mu.Lock()
+	if c.cmd, c.exited = cmd, exited; !slices.Contains(r.ctl, c) {
+		r.ctl = append(r.ctl, c)
+	}
+	r.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		r.note("controller %s: process %d has ended: %v", c.name, cmd.Process.Pid, err)
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -10,8 +10,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -62,10 +65,19 @@
 		return 2
 	}
 	defer os.RemoveAll(r.dir)
-	defer func() {
-		for _, c := range r.ctl {
+	killAll := func() {
+		for _, c := range r.controllers() {
 			c.kill()
 		}
+	}
+	defer killAll()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() { // whoever ends the script ends its processes
+		<-stop
+		killAll()
+		os.RemoveAll(r.dir)
+		os.Exit(2)
 	}()
 	defer func() {
 		if reason := recover(); reason != nil {
@@ -82,6 +94,13 @@
 	return 0
 }
 
+// controllers are the call controllers that were started.
+func (r *run) controllers() []*controller {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.ctl)
+}
+
 // since is the time since the start of the run.
 func (r *run) since() time.Duration { return time.Since(r.start) }
 
--- a/review/_standin-2/switch.go
+++ b/review/_standin-2/switch.go
@@ -339,34 +339,38 @@
 	s.run.note("%s: a new machine listens at the address of the old one", name)
 }
 
-// releaseAndReset ends a call. The release goes down with the connection on which it is written, and its repetition with each of the
-// next connections, up to a number of resets in all.
+// releaseAndReset ends a call. The release goes down with the connection on which it would be written, and its repetition with each of
+// the next connections, up to a number of resets in all. The octets that would not arrive are left out.
 func (s *exchangeSwitch) releaseAndReset(id string, resets int) {
 	s.mu.Lock()
-	if s.calls[id] != nil {
-		s.endLocked(id)
-		s.run.note("%s: release of %s written, lost as the connection is reset", s.name, id)
-		for _, c := range s.conns {
-			reset(c)
-		}
-		s.conns = nil
+	defer s.mu.Unlock()
+	if s.calls[id] == nil {
+		return
 	}
-	call := &sip.Message{Method: sip.Bye, URI: "sip:" + id + "@net", CallID: id, CSeq: 2, Fields: []sip.Field{{Name: "Reason", Value: "Q.850;cause=16"}}}
-	s.repeats = append(s.repeats, call)
-	s.mu.Unlock()
-	s.resetNext(id, resets-1)
+	s.endLocked(id)
+	s.repeats = append(s.repeats, &sip.Message{Method: sip.Bye, URI: "sip:" + id + "@net", CallID: id, CSeq: 2, Fields: []sip.Field{{Name: "Reason", Value: "Q.850;cause=16"}}})
+	s.resetNextLocked(id, resets-1)
+	s.run.note("%s: release of %s goes down with its connection, which is reset while idle (%d open)", s.name, id, len(s.conns))
+	for _, c := range s.conns {
+		reset(c)
+	}
+	s.conns = nil
 }
 
-// resetNext resets the next connections as they open. The switch writes its release on the first of them; nothing arrives.
+// resetNext resets the next connections as they open, and the release that would be written on the first goes down with it.
 func (s *exchangeSwitch) resetNext(id string, resets int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.resetNextLocked(id, resets)
+}
+
+func (s *exchangeSwitch) resetNextLocked(id string, resets int) {
 	s.lose = func(c *switchConn) bool {
 		if resets == 0 {
 			return false
 		}
 		resets--
-		s.run.note("%s: release of %s written again on the next connection, lost as that is reset while new", s.name, id)
+		s.run.note("%s: release of %s on the next connection goes down with it, as it is reset while new", s.name, id)
 		s.repeats = nil
 		reset(c)
 		return true
