A release lost with two connections in a row is told to its caller

Cause: a loss counted as made good as soon as the next connection was up, so what the switch wrote there was held to be told once it was written. A connection that ended unread was a sign of a loss only if it fell silent; one that was reset while it was dialled was taken for one that did not come up.

Change: a connection counts as read once a keepalive on it was answered.

--- a/internal/b2bua/keepalive.go
+++ b/internal/b2bua/keepalive.go
@@ -61,6 +61,10 @@
 	a.setSent(link, slices.DeleteFunc(link.sentReleases, func(sent sentRelease) bool { return sent.sentAt < link.keepaliveSentAt }))
 	remote.roundTrip = max(a.now-link.keepaliveSentAt, remote.roundTrip-remote.roundTrip/8)
 	remote.roundTripMeasured, link.keepaliveID = true, ""
+	link.openingRead = true
+	if link.dialID >= remote.unreadFromDial {
+		remote.unreadFromDial = 0
+	}
 }
 
 // sendKeepalive sends a keepalive on a connection.
@@ -89,5 +93,5 @@
 		return
 	}
 	link.silent = true
-	a.linkLost(remote, link)
+	a.linkLost(remote, link, linkClosedHere)
 }
--- /dev/null
+++ b/internal/b2bua/lost_opening_test.go
@@ -0,0 +1,126 @@
+package b2bua
+
+import (
+	"testing"
+
+	"indigodrift/policy"
+)
+
+// releaseLimit is the time that the platform allows for the release of a caller after the end of a call whose release
+// could not be sent.
+const releaseLimit = policy.Tenths(80000)
+
+// resetWhileNew completes the next dial with a connection that is reset before anything that the switch wrote on it came.
+func (h *harness) resetWhileNew() { h.disconnectLink(h.completeDial(false, true)) }
+
+// resetDuringDial completes the next dial with a connection that is reset before it can be used.
+func (h *harness) resetDuringDial() {
+	request := h.dials[0]
+	h.dials = h.dials[1:]
+	h.lostOpenings[request.switchID] = h.now
+	h.agent.DialDone(h.now, request.switchID, request.dialID, 0, DialReset)
+}
+
+// resetAfterReport resets the next connection after the first message of the switch, ahead of the release.
+func (h *harness) resetAfterReport() {
+	conn := h.completeDial(false, true)
+	h.reportCircuits(conn, 9, 9)
+	h.disconnectLink(conn)
+}
+
+var lostOpenings = map[string]func(h *harness){
+	"while new":              (*harness).resetWhileNew,
+	"during the dial":        (*harness).resetDuringDial,
+	"after a first message":  (*harness).resetAfterReport,
+	"silent and then closed": (*harness).closeSilent,
+}
+
+// closeSilent lets the next connection be silent, and the one after it be answered.
+func (h *harness) closeSilent() {
+	h.silent[h.completeDial(false, true)] = true
+	h.openRespondingLink()
+}
+
+// settle lets time pass in which every further connection works.
+func (h *harness) settle(span policy.Tenths) {
+	for elapsed := policy.Tenths(0); elapsed < span; elapsed += maintenanceInterval {
+		h.completeDials(9, 9)
+		h.advanceTime(maintenanceInterval)
+	}
+}
+
+// Guards against a caller who is never told that its call is over, as the release was lost with a connection and its
+// repetition with the next one.
+func TestReleaseLostWithTwoConnectionsInARowIsToldToItsCaller(t *testing.T) {
+	for name, loseOpening := range lostOpenings {
+		h, _, call := establishedCall(t)
+		h.settle(keepaliveInterval)
+		h.disconnectLink(h.mustLinkTo(1))
+		loseOpening(h)
+		if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 || h.agent.establishedCalls != 0 {
+			t.Errorf("%s: the caller was released %d times", name, call.callerReleases)
+		}
+	}
+}
+
+// Guards against the same where the next connection was opened before the end of the earlier one was noticed.
+func TestReleaseLostWithAnOverlappingConnectionIsToldToItsCaller(t *testing.T) {
+	h, old, _, call := callWithTwoLinks(t)
+	h.disconnectLink(h.linkOrder[len(h.linkOrder)-1])
+	h.disconnectLink(old)
+	if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 {
+		t.Errorf("the caller was released %d times", call.callerReleases)
+	}
+}
+
+// Guards against the same where the only connection was closed in good order, so that the release was written on the next
+// one alone.
+func TestReleaseWrittenOnNoOtherConnectionIsToldToItsCaller(t *testing.T) {
+	h, _, call := establishedCall(t)
+	h.settle(keepaliveInterval)
+	link := h.mustLinkTo(1)
+	h.forgetLink(link)
+	h.agent.SwitchDisconnected(h.now, link, true)
+	h.resetWhileNew()
+	if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 {
+		t.Errorf("the caller was released %d times", call.callerReleases)
+	}
+}
+
+// Guards against disconnecting calls whose release cannot be lost: only one of two connections in a row ended unread.
+func TestCallsStayEstablishedIfTheRepetitionIsRead(t *testing.T) {
+	for name, play := range map[string]func(h *harness){
+		"the next one is read": func(h *harness) { h.disconnectLink(h.mustLinkTo(1)); h.settle(keepaliveInterval) },
+		"an extra one is lost": func(h *harness) {
+			h.agent.switches[1].recoveryDialID = h.agent.lastDialID + 1
+			h.advanceTime(maintenanceInterval)
+			h.resetWhileNew()
+		},
+		"a dial is refused by nobody": func(h *harness) { h.disconnectLink(h.mustLinkTo(1)); h.completeDial(false, false) },
+	} {
+		h, _, call := establishedCall(t)
+		h.settle(keepaliveInterval)
+		play(h)
+		if h.settle(2 * releaseLimit); call.callerReleases != 0 || h.agent.establishedCalls != 1 {
+			t.Errorf("%s: the caller was released %d times", name, call.callerReleases)
+		}
+	}
+}
+
+// Guards against closing a connection that a switch may still write on, for its descriptor, while an idle one is known to be
+// read.
+func TestDescriptorComesFromAHealthyConnection(t *testing.T) {
+	h := manySwitches(t, 4, 4)
+	h.completeDials(9, 9)
+	h.settle(keepaliveInterval)
+	remote := h.agent.switches[1]
+	remote.recoveryDialID = h.agent.lastDialID + 1
+	h.agent.dialReplacingIdle(remote)
+	h.completeDials(9, 9)
+	h.settle(keepaliveInterval / 4)
+	suspect := remote.links[0]
+	suspect.unansweredSince, suspect.lastMessageAt = h.now-maintenanceInterval, 1
+	if link := h.agent.evictableLink(h.agent.switches[2]); link == nil || link == suspect {
+		t.Errorf("chose %+v", link)
+	}
+}
--- a/internal/b2bua/lost_repeat.go
+++ b/internal/b2bua/lost_repeat.go
@@ -13,28 +13,61 @@
 // requires callers to be released within 8 s of the end of a call.
 const lostRepeatDelay = policy.Tenths(10000)
 
-// lostRepeat is a connection to a switch on which no message ever came. A switch repeats a release once, on the
-// next connection that opens, so a release that it repeated on this one may be lost permanently.
+// lostRepeat is a connection to a switch of which it is not known that what the switch wrote as it opened was read. A
+// switch repeats a release once, on the next connection that opens, so a release that it repeated on this one may be
+// lost permanently. Of several such connections the last one counts, as it covers the most calls.
 type lostRepeat struct {
-	conn     ConnID // 0 if there is none
-	openedAt policy.Tenths
-	closed   bool          // it was closed locally and no message can come on it
+	conn     ConnID        // 0 if there is none, or if it was reset before it could be used
+	openedAt policy.Tenths // 0 if there is none
+	ended    bool          // no message can come on it any more; otherwise it is silent
 	dueAt    policy.Tenths // when its calls count as over, 0 while the switch is silent
 }
 
 // suspectLostRepeat records a connection on which a message is overdue, the first of several.
 func (rs *remoteSwitch) suspectLostRepeat(link *switchLink) {
-	if rs.lostRepeat.conn == 0 && !link.messageSeen {
+	if rs.lostRepeat.openedAt == 0 && !link.openingRead {
 		rs.lostRepeat = lostRepeat{conn: link.conn, openedAt: link.openedAt}
 	}
 }
 
+// openingLost handles the end of a connection before it was known that what the switch wrote as it opened was read.
+func (a *Agent) openingLost(remote *remoteSwitch, link *switchLink, end linkEnd) {
+	if link.openingRead {
+		return
+	}
+	lostEarlier := func(other *switchLink) bool {
+		return (other.silent || a.isSuspect(remote, other)) && other.lastMessageAt < link.openedAt
+	}
+	if !link.carriesRepeats && !slices.ContainsFunc(remote.links, lostEarlier) {
+		remote.lostOpeningAt = link.openedAt
+		return
+	}
+	dueAt := policy.Tenths(0) // of a connection closed here, once the switch is heard again
+	if end == linkReset {
+		dueAt = a.now + lostRepeatDelay
+	}
+	remote.repeatLost(link.conn, link.openedAt, dueAt)
+}
+
+// repeatLost records that what a switch repeated on a connection that has ended may be lost.
+func (rs *remoteSwitch) repeatLost(conn ConnID, openedAt, dueAt policy.Tenths) {
+	suspect := &rs.lostRepeat
+	if suspect.dueAt == 0 {
+		suspect.dueAt = dueAt
+	}
+	suspect.conn, suspect.openedAt, suspect.ended = conn, max(openedAt, suspect.openedAt), true
+}
+
 // messageOnLink handles a message on a connection. On a connection that was silent it proves that the switch only
 // hung and nothing was lost; on a later connection it starts lostRepeatDelay.
 func (rs *remoteSwitch) messageOnLink(link *switchLink, now policy.Tenths) {
-	switch suspect := &rs.lostRepeat; {
-	case suspect.conn == 0:
-	case link.silent || link.conn == suspect.conn || link.openedAt <= suspect.openedAt:
+	suspect := &rs.lostRepeat
+	if suspect.openedAt == 0 {
+		return
+	}
+	onlyHung := link.silent || link.conn == suspect.conn || link.openedAt <= suspect.openedAt
+	switch {
+	case onlyHung && !suspect.ended:
 		*suspect = lostRepeat{}
 	case suspect.dueAt == 0:
 		suspect.dueAt = now + lostRepeatDelay
@@ -49,10 +82,6 @@
 		return
 	}
 	remote.lostRepeat = lostRepeat{}
-	anySilent := slices.ContainsFunc(remote.links, func(link *switchLink) bool { return link.silent })
-	if suspect.closed && !anySilent { // it may have been a hang, and no connection is left that would show it
-		return
-	}
 	calls := a.matchingCalls(func(call *trackedCall) bool {
 		if !call.isEstablishedAt(remote.entry.ID) || call.establishedAt >= suspect.openedAt {
 			return false
@@ -64,8 +93,13 @@
 		a.transport.Log(fmt.Sprintf("%d calls established at %s are released: messages on connection %d may be lost", len(calls), board.FormatID(remote.entry.ID), suspect.conn))
 	}
 	for _, call := range calls {
-		a.releaseSwitch(remote.entry.ID, 0, newSwitchRelease(call, causeTemporaryFailure))
-		a.releaseCaller(call, causeTemporaryFailure)
-		a.endCall(call, policy.Disconnected, noReport)
+		a.endLostCall(call)
 	}
 }
+
+// endLostCall releases a call whose release may be lost, on both sides.
+func (a *Agent) endLostCall(call *trackedCall) {
+	a.releaseSwitch(call.lastSwitch(), 0, newSwitchRelease(call, causeTemporaryFailure))
+	a.releaseCaller(call, causeTemporaryFailure)
+	a.endCall(call, policy.Disconnected, noReport)
+}
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -42,11 +42,14 @@
 // switchLink is one connection to a switch.
 type switchLink struct {
 	conn            ConnID
+	dialID          uint32 // of the dial that opened it
 	openedAt        policy.Tenths
 	lastMessageAt   policy.Tenths
 	unansweredSince policy.Tenths // since when the answer to a keepalive is expected, 0 if none is
 	lastSetUpAt     policy.Tenths // when a set-up or its cancellation was last written on it
 	messageSeen     bool          // any message came on it
+	carriesRepeats  bool          // as it opened, the switch may have repeated on it releases that are recorded nowhere else
+	openingRead     bool          // a keepalive was answered, so everything that the switch wrote as it opened was read
 	silent          bool          // keepalive timed out: the connection counts as lost and is only read from
 	keepaliveSentAt policy.Tenths // when the last keepalive was sent
 	keepaliveID     string        // its Call-ID, "" once it was answered
@@ -67,7 +70,12 @@
 	// recoveryDialID is the lowest id of a dial whose connection makes the switch repeat the releases lost on a broken
 	// connection: switches repeat them on the next connection that opens, and on no other. 0 if nothing was lost
 	// since the last one opened.
-	recoveryDialID    uint32
+	recoveryDialID uint32
+	// unreadFromDial is the lowest id of a dial whose connection has to be read (openingRead) before the releases that a
+	// lost connection may have taken with it count as received. 0 if there are none.
+	unreadFromDial    uint32
+	lostOpeningAt     policy.Tenths // when the last connection opened that ended unread and carried no repeats, as far as known
+	lossUnseen        bool          // a connection was lost here that the switch may still believe to be open
 	linkLostAt        policy.Tenths // when a connection that the switch may believe to be open was last lost, 0 if none was
 	nextRecoveryAt    policy.Tenths // when the next connection is opened for calls whose own connection is closed
 	silentSinceLoss   bool          // no message came from the switch since a connection was lost
@@ -112,101 +120,11 @@
 	return nil
 }
 
-// dial opens one more connection, unless a dial is in progress. When all descriptors for switches are in use, it
-// closes the idle connection to another switch that has been quiet longest; the only connection of a switch is
-// closed only if calls or releases wait.
-func (a *Agent) dial(remote *remoteSwitch) {
-	if a.starting || remote.dialing || len(remote.links) >= maxLinksPerSwitch || a.descriptorsExhausted() && !a.evictIdleLink(remote) {
-		return
-	}
-	a.lastDialID++
-	a.dialsInProgress++
-	remote.dialing, remote.dialID = true, a.lastDialID
-	a.dialAddresses[remote.dialID] = remote.entry.Address
-	a.transport.Dial(remote.entry.ID, remote.dialID, remote.entry.Address)
-}
-
-// descriptorsExhausted reports whether all descriptors for switches are in use.
-func (a *Agent) descriptorsExhausted() bool {
-	return len(a.switchOfLink)+a.dialsInProgress >= a.maxLinks
-}
-
-// evictIdleLink closes an idle connection to another switch. It returns false if there is none to close.
-func (a *Agent) evictIdleLink(remote *remoteSwitch) bool {
-	var candidate *switchLink
-	for _, id := range a.switchOrder {
-		other := a.switches[id]
-		for _, link := range other.links {
-			onlyLink := len(other.links) == 1
-			if other == remote || link.openSetUps > 0 || onlyLink && len(remote.waitingTries) == 0 && len(remote.pendingReleases) == 0 {
-				continue
-			}
-			if candidate == nil || link.lastMessageAt < candidate.lastMessageAt {
-				candidate = link
-			}
-		}
-	}
-	if candidate == nil {
-		return false
-	}
-	a.setSent(candidate, nil)
-	other := a.switches[a.switchOfLink[candidate.conn]]
-	delete(a.switchOfLink, candidate.conn)
-	a.closingLinks[candidate.conn] = other.entry.ID
-	other.links = slices.DeleteFunc(other.links, func(link *switchLink) bool { return link == candidate })
-	other.nextDialAt = a.now + other.reconnectPace.NextDelay()
-	a.transport.Close(candidate.conn, "descriptor needed for another switch")
-	return true
-}
-
 // shouldConnect reports whether connections to a switch are to be kept open.
 func (a *Agent) shouldConnect(remote *remoteSwitch) bool {
 	return remote.entry.Exchange != a.settings.Policy.OwnExchange && remote.entry.State != board.Gone
 }
 
-// DialDone handles the result of a dial: a connection, a refusal (no process listens at the address), or a timeout.
-func (a *Agent) DialDone(now policy.Tenths, switchID, dialID uint32, conn ConnID, refused bool) {
-	a.now = now
-	a.dialsInProgress--
-	address := a.dialAddresses[dialID]
-	delete(a.dialAddresses, dialID)
-	remote := a.switches[switchID]
-	if remote == nil || remote.dialID != dialID {
-		if conn != 0 {
-			a.closeObsolete(conn, address)
-		}
-		return
-	}
-	remote.dialing = false
-	if conn != 0 && dialID >= remote.recoveryDialID {
-		remote.recoveryDialID = 0
-	}
-	if conn == 0 {
-		remote.reconnectPace.Down(now)
-		remote.nextDialAt = now + remote.reconnectPace.NextDelay()
-		a.endWaitingTries(remote)
-		if refused && len(remote.links) == 0 { // the process that held the calls established there is gone
-			a.disconnectCalls(remote, now+1, "the address refuses connections")
-		}
-		a.flushDeferred()
-		return
-	}
-	remote.reconnectPace.Up(now)
-	link := &switchLink{conn: conn, openedAt: now, lastMessageAt: now}
-	remote.links = append(remote.links, link)
-	a.switchOfLink[conn] = switchID
-	a.sendKeepalive(link)
-	if a.mayHang(remote) {
-		link.unansweredSince = now
-	}
-	a.flushReleases(remote, link)
-	a.sendWaiting(remote)
-	if remote.recoveryDialID != 0 { // the dial was in progress already when the connection was lost
-		a.dialReplacingIdle(remote)
-	}
-	a.flushDeferred()
-}
-
 // sendWaiting sends the set-ups that wait for a connection to a switch.
 func (a *Agent) sendWaiting(remote *remoteSwitch) {
 	waiting := remote.waitingTries
@@ -248,6 +166,25 @@
 // messages may be lost.
 func (a *Agent) SwitchDisconnected(now policy.Tenths, conn ConnID, graceful bool) {
 	a.now = now
+	end := linkReset
+	if graceful {
+		end = linkEndedInOrder
+	}
+	a.linkEnded(conn, end)
+}
+
+// linkEnd is how a connection to a switch ended.
+type linkEnd uint8
+
+const (
+	linkEndedInOrder linkEnd = iota // everything that the switch wrote was read
+	linkReset                       // by the switch or the network: its last messages may be lost
+	linkClosedHere                  // the same, and the switch may still believe it to be open
+)
+
+// linkEnded handles the end of a connection to a switch.
+func (a *Agent) linkEnded(conn ConnID, end linkEnd) {
+	now := a.now
 	delete(a.closingLinks, conn)
 	switchID, ok := a.switchOfLink[conn]
 	if !ok {
@@ -268,11 +205,17 @@
 		if remote.shortLinks > maxShortLinks || link != nil && !link.messageSeen {
 			remote.nextDialAt = now + min(remote.reconnectPace.NextDelay(), maxShortLinkDelay)
 		}
-		if !graceful && link != nil && !link.silent {
-			a.linkLost(remote, link)
+		if end != linkEndedInOrder && link != nil {
+			a.openingLost(remote, link, end)
+		}
+		if end != linkEndedInOrder && link != nil && !link.silent {
+			a.linkLost(remote, link, end)
 		} else if remote.nextRecoveryAt == 0 && remote.linkLostAt != 0 && now-remote.linkLostAt < linkLossRetention {
 			remote.nextRecoveryAt = now + recoveryInterval
 		}
+		if len(remote.links) == 0 {
+			remote.awaitRepeats(a.lastDialID)
+		}
 		if a.shouldConnect(remote) && now >= remote.nextDialAt && (len(remote.links) == 0 || remote.recoveryDialID != 0) {
 			a.dialReplacingIdle(remote)
 		}
@@ -301,11 +244,12 @@
 // closeLink closes a connection to a switch. graceful means that the connection works, and messages that cross the
 // close are still read.
 func (a *Agent) closeLink(remote *remoteSwitch, link *switchLink, reason string, graceful bool) {
-	if link.conn == remote.lostRepeat.conn {
-		remote.lostRepeat.closed = true
+	end := linkClosedHere
+	if graceful {
+		end = linkEndedInOrder
 	}
 	a.transport.Close(link.conn, reason)
-	a.SwitchDisconnected(a.now, link.conn, graceful)
+	a.linkEnded(link.conn, end)
 	a.closingLinks[link.conn] = remote.entry.ID
 }
 
--- a/internal/b2bua/switch_list.go
+++ b/internal/b2bua/switch_list.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		if remote == nil {
-			remote = &remoteSwitch{entry: entry, lastMessageAt: now, nextDialAt: now}
+			remote = &remoteSwitch{entry: entry, lastMessageAt: now, nextDialAt: now, unreadFromDial: a.lastDialID + 1}
 			remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
 			a.switches[entry.ID] = remote
 			a.switchOrder = append(a.switchOrder, entry.ID)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -78,7 +78,7 @@
 	err        error
 	switchID   uint32
 	dialID     uint32
-	refused    bool
+	outcome    b2bua.DialOutcome // of a dial
 	boardEvent board.Event
 	connected  bool
 }
@@ -379,7 +379,7 @@
 			s.log.Debug("switch connected", "conn", e.connID, "switch", board.FormatID(e.switchID))
 			s.serveConn(e.conn, s.readSwitch, s.switchSlots)
 		}
-		s.agent.DialDone(now, e.switchID, e.dialID, e.connID, e.refused)
+		s.agent.DialDone(now, e.switchID, e.dialID, e.connID, e.outcome)
 	case switchDisconnected:
 		if s.switchConns[e.connID] != nil {
 			s.log.Debug("switch connection: end of stream", "conn", e.connID, "err", e.err)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -67,14 +67,16 @@
 	select {
 	case s.switchSlots <- struct{}{}:
 	default: // many connections are being closed; their descriptors are free shortly
-		s.goroutines.Go(func() { s.post(event{kind: dialFinished, switchID: switchID, dialID: dialID}) })
+		s.goroutines.Go(func() {
+			s.post(event{kind: dialFinished, switchID: switchID, dialID: dialID, outcome: b2bua.DialTimedOut})
+		})
 		return
 	}
 	s.goroutines.Go(func() {
 		ctx, cancel := context.WithTimeout(s.runCtx, timeout)
 		defer cancel()
 		netConn, err := s.dial(ctx, address)
-		e := event{kind: dialFinished, switchID: switchID, dialID: dialID, refused: errors.Is(err, syscall.ECONNREFUSED)}
+		e := event{kind: dialFinished, switchID: switchID, dialID: dialID, outcome: dialOutcome(err)}
 		if err == nil {
 			e.conn = s.addConn(netConn)
 			e.connID = e.conn.id
@@ -89,6 +91,19 @@
 	})
 }
 
+// dialOutcome returns the outcome of a dial that ended with an error, or with none.
+func dialOutcome(err error) b2bua.DialOutcome {
+	switch {
+	case err == nil:
+		return b2bua.DialConnected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return b2bua.DialRefused
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ENOTCONN):
+		return b2bua.DialReset
+	}
+	return b2bua.DialTimedOut
+}
+
 // Abandoned reports whether a caller has closed its connection or cancelled its call, even if that event is still in the inbox.
 func (t *transport) Abandoned(caller b2bua.ConnID, callID string) bool {
 	conn := t.callerConns[caller]
