An announced call counts as one that may have stood before its announcement

Cause: adoptCall took the time of the announcement for that of the answer, and what was known of a switch before the announcement was not applied to it.

Change: mayHaveStoodBefore asks when a call may have been established, with announcementDelay for announced ones; overBefore keeps the time before which a switch's calls are over or their releases may be lost, also for announcements that come later. A switch that is new under its id is passed over.

--- a/internal/b2bua/announced.go
+++ b/internal/b2bua/announced.go
@@ -4,8 +4,22 @@
 	"strings"
 
 	"indigodrift/internal/sip"
+	"indigodrift/policy"
 )
 
+// announcementDelay is how long after the end of the controller that set it up a call may be announced here: within 8 s
+// of the end of a call its controller would have released it, and its caller looks for another one for some seconds.
+const announcementDelay = policy.Tenths(100000)
+
+// mayHaveStoodBefore reports whether a call may have been established before a time. When a call that was announced was
+// established is not known, only that it was announced within announcementDelay.
+func (tc *trackedCall) mayHaveStoodBefore(time policy.Tenths) bool {
+	if tc.merelyAnnounced() {
+		return tc.establishedAt-announcementDelay < time
+	}
+	return tc.establishedAt < time
+}
+
 // adoptCall handles a set-up of a call that is established at a switch already. The call is tracked from now on, and
 // no answer is sent. Nothing proves that the switch knows it, so such calls have a limit of their own.
 func (a *Agent) adoptCall(caller *callerConn, parsed setUp, msg *sip.Message) {
@@ -29,6 +43,10 @@
 	if remote.nextRecoveryAt == 0 {
 		remote.nextRecoveryAt = a.now + recoveryInterval
 	}
+	if call.mayHaveStoodBefore(remote.overBefore) {
+		a.endLostCall(call)
+		return
+	}
 	place, displaced := a.announced.add(caller.conn, call)
 	if call.announcement = place; place == nil {
 		a.endAnnounced(call)
--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -162,6 +162,8 @@
 	lastKeepaliveID  uint64
 	switches         map[uint32]*remoteSwitch
 	switchOrder      []uint32
+	listKnown        bool            // a whole list has been received
+	goneSwitches     map[uint32]bool // ids that were listed and are not, which a switch may use again
 	switchOfLink     map[ConnID]uint32
 	dialAddresses    map[uint32]string // of dials in progress, by dial ID
 	starting         bool              // during start-up, when nothing is dialled yet
@@ -196,6 +198,7 @@
 		maxBodyOctets:   bounds.Octets,
 		maxLinks:        bounds.Links,
 		switches:        map[uint32]*remoteSwitch{},
+		goneSwitches:    map[uint32]bool{},
 		switchOfLink:    map[ConnID]uint32{},
 		closingLinks:    map[ConnID]uint32{},
 		dialAddresses:   map[uint32]string{},
--- a/internal/b2bua/dial.go
+++ b/internal/b2bua/dial.go
@@ -108,6 +108,7 @@
 		remote.nextDialAt = a.now + min(remote.reconnectPace.NextDelay(), maxShortLinkDelay)
 	}
 	if outcome == DialRefused && len(remote.links) == 0 { // the process that held the calls established there is gone
+		remote.overBefore = a.now + 1
 		a.disconnectCalls(remote, a.now+1, "the address refuses connections")
 	}
 }
--- a/internal/b2bua/lost_opening_test.go
+++ b/internal/b2bua/lost_opening_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"indigodrift/internal/board"
 	"indigodrift/policy"
 )
 
@@ -107,6 +108,90 @@
 	}
 }
 
+const announcedID = "0000000000000abc"
+
+// announce lets a caller announce a call at switch 1, and returns the caller's connection.
+func (h *harness) announce() ConnID {
+	conn := h.connectCaller()
+	h.agent.FromCaller(h.now, h.now, conn, announcement(announcedID, 1))
+	return conn
+}
+
+// restartedController creates an agent that has started with switch 1 listed alone, and has not dialled it yet.
+func restartedController(t *testing.T) *harness {
+	h := newHarness(t)
+	for len(h.dials) > 0 && h.dials[0].switchID != 1 {
+		h.completeDial(true, false)
+	}
+	h.dials = h.dials[:1]
+	return h
+}
+
+// Guards against a call that is announced after the release of it was lost with the first connection after a restart of
+// this process: it was never released, as it counted as established only since its announcement.
+func TestAnnouncedCallWhoseReleaseWasLostBeforeIsReleased(t *testing.T) {
+	for name, loseOpening := range lostOpenings {
+		for _, announcedFirst := range []bool{true, false} {
+			h := restartedController(t)
+			var conn ConnID
+			if announcedFirst {
+				conn = h.announce()
+			}
+			loseOpening(h)
+			h.settle(2 * lostRepeatDelay)
+			if !announcedFirst {
+				conn = h.announce()
+			}
+			if h.settle(2 * lostRepeatDelay); withoutKeepalives(h.sentTo(conn)) != "BYE" || h.agent.establishedCalls != 0 {
+				t.Errorf("%s, announced first %v: the caller received %q", name, announcedFirst, h.sentTo(conn))
+			}
+		}
+	}
+}
+
+// Guards against an announced call that counts as one of the new process of its switch, in each order of its announcement,
+// the refusal of the switch's address, and the list's news of the new process.
+func TestAnnouncedCallOfARestartedSwitchIsReleased(t *testing.T) {
+	for name, order := range map[string]string{"announced, told": "at", "told, announced": "ta", "refused, announced": "ra",
+		"announced, refused": "ar", "refused, up, announced, told": "ruat", "up, announced, told": "uat", "up, told, announced": "uta"} {
+		h := restartedController(t)
+		restartedAt := int64(h.now)/10 + 100
+		var conn ConnID
+		for _, event := range order {
+			h.advanceTime(3000)
+			switch event {
+			case 'a':
+				conn = h.announce()
+			case 't':
+				h.updateSwitches(false, board.Switch{ID: 1, Exchange: 1, Address: "10.0.0.2:1", StartedMS: restartedAt})
+			case 'r':
+				h.completeDial(true, false)
+			case 'u':
+				for len(h.dials) == 0 {
+					h.advanceTime(maintenanceInterval)
+				}
+				h.completeDials(9, 9)
+			}
+		}
+		if h.advanceTime(lostRepeatDelay); h.sentTo(conn) != "BYE" || h.agent.establishedCalls != 0 {
+			t.Errorf("%s: the caller received %q", name, h.sentTo(conn))
+		}
+	}
+}
+
+// Guards against releasing announced calls without need: at a switch that is new under its id, or has run for long.
+func TestAnnouncedCallOfARunningSwitchStaysEstablished(t *testing.T) {
+	h := restartedController(t)
+	h.settle(keepaliveInterval)
+	h.updateSwitches(false, board.Switch{ID: 9, Exchange: 1, Address: "10.0.0.9:1", StartedMS: int64(h.now) / 10})
+	h.settle(keepaliveInterval)
+	conn := h.announce()
+	h.agent.FromCaller(h.now, h.now, conn, announcement("0000000000000abd", 9))
+	if h.settle(releaseLimit); h.agent.establishedCalls != 2 {
+		t.Errorf("the caller received %q", h.sentTo(conn))
+	}
+}
+
 // Guards against closing a connection that a switch may still write on, for its descriptor, while an idle one is known to be
 // read.
 func TestDescriptorComesFromAHealthyConnection(t *testing.T) {
--- a/internal/b2bua/lost_repeat.go
+++ b/internal/b2bua/lost_repeat.go
@@ -82,8 +82,9 @@
 		return
 	}
 	remote.lostRepeat = lostRepeat{}
+	remote.overBefore = max(remote.overBefore, suspect.openedAt)
 	calls := a.matchingCalls(func(call *trackedCall) bool {
-		if !call.isEstablishedAt(remote.entry.ID) || call.establishedAt >= suspect.openedAt {
+		if !call.isEstablishedAt(remote.entry.ID) || !call.mayHaveStoodBefore(suspect.openedAt) {
 			return false
 		}
 		ownLink := remote.findLink(call.lastTry().conn)
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -75,6 +75,7 @@
 	// lost connection may have taken with it count as received. 0 if there are none.
 	unreadFromDial    uint32
 	lostOpeningAt     policy.Tenths // when the last connection opened that ended unread and carried no repeats, as far as known
+	overBefore        policy.Tenths // calls that stood before this time are over, or their releases may be lost
 	lossUnseen        bool          // a connection was lost here that the switch may still believe to be open
 	linkLostAt        policy.Tenths // when a connection that the switch may believe to be open was last lost, 0 if none was
 	nextRecoveryAt    policy.Tenths // when the next connection is opened for calls whose own connection is closed
--- a/internal/b2bua/switch_list.go
+++ b/internal/b2bua/switch_list.go
@@ -13,7 +13,7 @@
 // come any more.
 func (a *Agent) disconnectCalls(remote *remoteSwitch, before policy.Tenths, reason string) {
 	calls := a.matchingCalls(func(call *trackedCall) bool {
-		return call.isEstablishedAt(remote.entry.ID) && call.establishedAt < before
+		return call.isEstablishedAt(remote.entry.ID) && call.mayHaveStoodBefore(before)
 	})
 	if len(calls) > 0 {
 		a.transport.Log(fmt.Sprintf("%d calls established at %s count as disconnected: %s", len(calls), board.FormatID(remote.entry.ID), reason))
@@ -72,11 +72,15 @@
 			remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
 			a.switches[entry.ID] = remote
 			a.switchOrder = append(a.switchOrder, entry.ID)
+			if !a.listKnown || a.goneSwitches[entry.ID] { // it may have run before under its id
+				remote.overBefore = startTime(entry)
+			}
 		}
 		restarted := startTime(remote.entry) != startTime(entry)
 		moved := remote.entry.Address != entry.Address
 		remote.entry = entry
 		if restarted || moved { // a new process: connections and calls of the previous one are over
+			remote.overBefore = max(remote.overBefore, startTime(entry))
 			remote.dialID, remote.dialing, remote.nextDialAt = 0, false, now
 			a.closeLinks(remote, "the switch restarted", func(link *switchLink) bool { return moved || link.openedAt < startTime(entry) })
 			a.disconnectCalls(remote, startTime(entry), "the switch restarted")
@@ -85,6 +89,7 @@
 			a.endWaitingTries(remote)
 		}
 	}
+	a.listKnown = a.listKnown || event.Complete
 	a.maintainLinks()
 	a.flushDeferred()
 }
@@ -124,5 +129,9 @@
 	a.disconnectCalls(remote, a.now+1, "the switch is gone")
 	a.setPending(remote, nil)
 	delete(a.switches, remote.entry.ID)
+	if len(a.goneSwitches) >= a.limits.switches {
+		clear(a.goneSwitches)
+	}
+	a.goneSwitches[remote.entry.ID] = true
 	a.switchOrder = slices.DeleteFunc(a.switchOrder, func(id uint32) bool { return id == remote.entry.ID })
 }
