Connections to a switch that hangs are kept until it resumes or counts as gone

Cause: each new connection to a hung switch comes up and stays silent. It timed out after 0.1 s and was replaced, as were the silent ones kept to be read: more than ten were closed in a hang of 5.2 s.

Change: silent connections are not replaced and leave room for four others; at eight no further one is opened, and set-ups end as unreached. Surplus ones are closed when they have been read.

--- a/internal/b2bua/dial.go
+++ b/internal/b2bua/dial.go
@@ -10,7 +10,7 @@
 // closes the idle connection to another switch that has been quiet longest; the only connection of a switch is
 // closed only if calls or releases wait.
 func (a *Agent) dial(remote *remoteSwitch) {
-	if a.starting || remote.dialing || len(remote.links) >= maxLinksPerSwitch || a.descriptorsExhausted() && !a.evictIdleLink(remote) {
+	if a.starting || remote.dialing || !remote.mayOpenLink() || a.descriptorsExhausted() && !a.evictIdleLink(remote) {
 		return
 	}
 	a.lastDialID++
--- a/internal/b2bua/keepalive.go
+++ b/internal/b2bua/keepalive.go
@@ -26,7 +26,9 @@
 	// pending messages on the old connection, and connections that are closed and opened meanwhile would only queue
 	// up in front of it.
 	silentLinkRetention = peerTimeout
-	maxSilentLinks      = 2 // per switch; silent connections beyond these are closed and replaced
+
+	// maxOpenLinksPerSwitch bounds the connections to a switch, silent ones included. Beyond it no other one is opened.
+	maxOpenLinksPerSwitch = 2 * maxLinksPerSwitch
 )
 
 // unansweredFor returns how long the answer to a keepalive has been missing, 0 if none is expected.
@@ -82,13 +84,7 @@
 	if !link.messageSeen { // the waiting set-ups were never sent
 		a.endWaitingTries(remote)
 	}
-	silentLinks := 0
-	for _, other := range remote.links {
-		if other.silent {
-			silentLinks++
-		}
-	}
-	if link.lastSetUpAt >= link.lastMessageAt && link.lastSetUpAt != 0 || link.silent || silentLinks >= maxSilentLinks {
+	if link.lastSetUpAt >= link.lastMessageAt && link.lastSetUpAt != 0 || link.silent {
 		a.closeLink(remote, link, "keepalive timeout", false)
 		return
 	}
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -30,10 +30,32 @@
 	}
 }
 
+// mayOpenLink reports whether one more connection may be opened. Silent connections are kept to be read and leave room
+// for others, within a limit of their own.
+func (rs *remoteSwitch) mayOpenLink() bool {
+	return rs.usableLinks() < maxLinksPerSwitch && len(rs.links) < maxOpenLinksPerSwitch
+}
+
+// allLinksSilent reports whether as many connections as may be open are open and silent.
+func (rs *remoteSwitch) allLinksSilent() bool {
+	return rs.usableLinks() == 0 && !rs.mayOpenLink()
+}
+
+// usableLinks returns the number of connections that are not silent.
+func (rs *remoteSwitch) usableLinks() int {
+	usable := 0
+	for _, link := range rs.links {
+		if !link.silent {
+			usable++
+		}
+	}
+	return usable
+}
+
 // dialReplacingIdle opens one more connection to a switch. If the switch has the maximum already, the idle one that
-// has been quiet longest is closed first.
+// has been quiet longest is closed first. Silent ones stay: a switch that only hung writes its releases there.
 func (a *Agent) dialReplacingIdle(remote *remoteSwitch) {
-	if !remote.dialing && len(remote.links) >= maxLinksPerSwitch {
+	if !remote.dialing && remote.usableLinks() >= maxLinksPerSwitch {
 		idle := remote.quietestIdleLink()
 		if idle == nil {
 			return
@@ -44,11 +66,11 @@
 }
 
 // quietestIdleLink returns the connection without open set-ups that has been quiet longest, nil if there is none. It passes
-// over those on which repeated releases may still come.
+// over silent ones, and over those on which repeated releases may still come.
 func (rs *remoteSwitch) quietestIdleLink() *switchLink {
 	var idle *switchLink
 	for _, link := range rs.links {
-		if link.openSetUps > 0 || link.carriesRepeats && !link.openingRead {
+		if link.openSetUps > 0 || link.silent || link.carriesRepeats && !link.openingRead {
 			continue
 		}
 		if idle == nil || link.lastMessageAt < idle.lastMessageAt {
@@ -63,6 +85,16 @@
 	return l.openingRead && l.unansweredSince == 0
 }
 
+// closeSurplusLink closes one connection of a switch that has more than the maximum, after silent ones have come back.
+func (a *Agent) closeSurplusLink(remote *remoteSwitch) {
+	if remote.usableLinks() <= maxLinksPerSwitch {
+		return
+	}
+	if idle := remote.quietestIdleLink(); idle != nil && idle.healthy() {
+		a.closeLink(remote, idle, "more connections than needed", true)
+	}
+}
+
 // messageReceived records that the switch sent a message. A switch that hung may now release calls that ended
 // meanwhile on connections that were closed here, so the next connection is opened soon.
 func (rs *remoteSwitch) messageReceived(now policy.Tenths) {
--- a/internal/b2bua/lost_opening_test.go
+++ b/internal/b2bua/lost_opening_test.go
@@ -192,6 +192,60 @@
 	}
 }
 
+// Guards against closing connections to a switch that hangs: it writes its releases there, and repeats them on those that
+// were opened meanwhile, when it resumes.
+func TestConnectionsToASwitchThatHangsAreKept(t *testing.T) {
+	h, _, call := establishedCall(t)
+	remote := h.agent.switches[1]
+	for len(remote.links) < maxLinksPerSwitch {
+		remote.recoveryDialID = h.agent.lastDialID + 1
+		h.settle(maintenanceInterval)
+	}
+	h.settle(2 * keepaliveInterval)
+	kept := len(remote.links)
+	for conn, switchID := range h.links {
+		h.silent[conn] = switchID == 1
+	}
+	for range (peerTimeout - 2*keepaliveInterval) / maintenanceInterval {
+		h.advanceTime(maintenanceInterval)
+		for len(h.dials) > 0 {
+			h.silent[h.completeDial(false, true)] = true
+		}
+	}
+	if len(h.closed) != 1 || len(remote.links) <= kept || len(remote.links) > maxOpenLinksPerSwitch { // one made room for the first new one
+		t.Errorf("closed %v, %d connections", h.closed, len(remote.links))
+	}
+	h.silent = map[ConnID]bool{}
+	for _, link := range remote.links {
+		h.reportCircuits(link.conn, 9, 9)
+	}
+	if h.settle(2 * keepaliveInterval); len(remote.links) > maxLinksPerSwitch || call.callerReleases != 0 {
+		t.Errorf("%d connections afterwards, the caller was released %d times: %v", len(remote.links), call.callerReleases, h.logged)
+	}
+}
+
+// Guards against set-ups that wait until their time is up for a switch to which no further connection may be opened.
+func TestSetUpToASwitchThatHangsEndsAsUnreached(t *testing.T) {
+	h, _, _, _ := callWithTwoLinks(t)
+	remote := h.agent.switches[1]
+	for range 4 * maxKeepaliveTimeout / maintenanceInterval {
+		h.advanceTime(maintenanceInterval)
+		for len(h.dials) > 0 {
+			h.silent[h.completeDial(false, true)] = true
+		}
+		for conn, switchID := range h.links {
+			h.silent[conn] = h.silent[conn] || switchID == 1
+		}
+		if remote.allLinksSilent() {
+			break
+		}
+	}
+	call := h.sendSetUp(h.connectCaller(), 1, 3000)
+	if h.advanceTime(maintenanceInterval); len(remote.waitingTries) != 0 || call.trySwitch == 1 {
+		t.Errorf("%d connections, %d set-ups wait", len(remote.links), len(remote.waitingTries))
+	}
+}
+
 // Guards against closing a connection that a switch may still write on, for its descriptor, while an idle one is known to be
 // read.
 func TestDescriptorComesFromAHealthyConnection(t *testing.T) {
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -287,6 +287,7 @@
 		if len(remote.waitingTries) > 0 && !a.awaitsFirstMessage(remote) || linkNeeded && a.now >= remote.nextDialAt {
 			a.dialReplacingIdle(remote)
 		}
+		a.closeSurplusLink(remote)
 		a.retryCongested(remote)
 		a.endLostCalls(remote)
 		if a.silentFor(remote.lastMessageAt) > peerTimeout {
