A body whose length does not fit is not passed on

Cause: a message was passed on as soon as its length was satisfied; the octets behind it were looked at with the next message only.

Change: what follows a body, there or within 1 ms, has to begin a message, and a body holds no start line. Otherwise the message is malformed, on connections of switches and of callers.

--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -186,3 +186,55 @@
 	shutDown()
 	conn.Close()
 }
+
+// Guards against an answer that is passed on cut, or with octets of another one, because its length does not fit: as it
+// arrives in one piece, and in two.
+func TestAnswerWhoseLengthDoesNotFitIsNotPassedOn(t *testing.T) {
+	const length = "Content-Length: 17"
+	for name, spoil := range map[string]func(answer string) string{
+		"too small": func(answer string) string { return strings.Replace(answer, length, "Content-Length: 5", 1) },
+		"too large": func(answer string) string { return strings.Replace(answer, length, "Content-Length: 37", 1) + answer },
+	} {
+		for _, inPieces := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in pieces %v", name, inPieces), func(t *testing.T) {
+				t.Parallel()
+				expectAnswerNotPassedOn(t, spoil, inPieces)
+			})
+		}
+	}
+}
+
+func expectAnswerNotPassedOn(t *testing.T, spoil func(answer string) string, inPieces bool) {
+	ln, switchListener, boardListener := listenOnLoopback(t), listenOnLoopback(t), listenOnLoopback(t)
+	defer boardListener.Close()
+	defer switchListener.Close()
+	shutDown := runOnLoopback(t, ln, switchListener.Addr().String(), boardListener.Addr().String())
+	switchConn, err := switchListener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sw := siptest.New(t, switchConn)
+	sw.Send(siptest.LoadReport(20, 20))
+	time.Sleep(50 * time.Millisecond)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	caller := siptest.New(t, conn)
+	caller.Send(setUp(callID1, 1000))
+	request := sw.Expect(sip.Invite)
+	answer := request.Response(sip.OK)
+	answer.Body = []byte("v=0\r\na=recvonly\r\n")
+	text := spoil(string(sip.Append(nil, &answer)))
+	if inPieces {
+		endOfFirstLine := strings.Index(text, "v=0\r\n") + len("v=0\r\n")
+		sw.SendRaw(text[:endOfFirstLine])
+		text = text[endOfFirstLine:]
+	}
+	sw.SendRaw(text)
+	if got, ok := caller.Receive(3 * time.Second); !ok || got.Status == sip.OK {
+		t.Errorf("the caller received %d %q", got.Status, got.Body)
+	}
+	conn.Close()
+	shutDown()
+}
--- /dev/null
+++ b/internal/platform/read_soon.go
@@ -0,0 +1,48 @@
+package platform
+
+import (
+	"io"
+	"syscall"
+	"time"
+)
+
+// soonDelay is how long the octets behind a message may take. What a peer writes at once arrives in several segments, and
+// their spacing on a network of one site is shorter.
+const soonDelay = time.Millisecond
+
+// readSoon reads what has arrived on the connection, or arrives within soonDelay. It returns 0 and no error if nothing did.
+func (c *connection) readSoon(buf []byte) (int, error) {
+	socket, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n, err := readAvailable(raw, buf)
+	if n == 0 && err == nil {
+		time.Sleep(soonDelay)
+		n, err = readAvailable(raw, buf)
+	}
+	return n, err
+}
+
+// readAvailable reads what has arrived on a socket, and waits for nothing.
+func readAvailable(raw syscall.RawConn, buf []byte) (n int, err error) {
+	controlErr := raw.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), buf)
+		return true
+	})
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case err == syscall.EAGAIN, err == syscall.EINTR: //nolint:errorlint // errors of system calls are not wrapped
+		return 0, nil
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
--- a/internal/platform/readers.go
+++ b/internal/platform/readers.go
@@ -66,6 +66,7 @@
 func (s *Server) readCaller(conn *connection) {
 	reader := sip.NewReader(conn.netConn)
 	reader.OnPartial = func() { s.post(event{kind: callerPartialMessage, connID: conn.id, readAt: s.now()}) }
+	reader.ReadSoon = conn.readSoon
 	for {
 		m, err := reader.Read()
 		switch {
@@ -96,6 +97,7 @@
 func (s *Server) readSwitch(conn *connection) {
 	reader := sip.NewReader(conn.netConn)
 	reader.OnPartial = func() { s.post(event{kind: switchPartialMessage, connID: conn.id, readAt: s.now()}) }
+	reader.ReadSoon = conn.readSoon
 	for {
 		m, err := reader.Read()
 		switch {
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -153,9 +153,14 @@
 	// OnPartial, if set, is called once for each message that is incomplete when the buffered octets are used up.
 	OnPartial func()
 
+	// ReadSoon, if set, reads from the stream what is there or arrives within a short time. It returns 0 and no error if
+	// nothing does. With it, a message with a body is checked against the octets that follow it.
+	ReadSoon func([]byte) (int, error)
+
 	partialReported bool
 	source          io.Reader
 	buf             []byte // read but not yet parsed
+	err             error  // of the stream, behind buf
 }
 
 // NewReader returns a Reader of the messages in r.
@@ -190,10 +195,14 @@
 			if length > 0 {
 				m.Body = bytes.Clone(r.buf[end+4 : messageLength])
 			}
-			if r.buf = r.buf[messageLength:]; len(r.buf) == 0 {
+			r.buf = r.buf[messageLength:]
+			if length > 0 {
+				err = r.checkFit(m.Body)
+			}
+			if len(r.buf) == 0 {
 				r.buf = nil // idle connections keep no buffer
 			}
-			return m, nil
+			return m, err
 		}
 		if len(r.buf) > MaxMessageSize {
 			return Message{}, fmt.Errorf("%w: no end of header within %d octets", ErrTooLong, len(r.buf))
@@ -224,12 +233,13 @@
 		growth = initialBufferSize
 	}
 	if cap(r.buf)-len(r.buf) < initialBufferSize/4 {
-		next := make([]byte, len(r.buf), len(r.buf)+growth)
-		copy(next, r.buf)
-		r.buf = next
+		r.enlarge(growth)
+	}
+	n, err := 0, r.err
+	if err == nil {
+		n, err = r.source.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf = r.buf[:len(r.buf)+n]
 	}
-	n, err := r.source.Read(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
 	switch {
 	case n > 0:
 		return nil
@@ -241,6 +251,13 @@
 	return err
 }
 
+// enlarge makes room for more octets in the buffer.
+func (r *Reader) enlarge(growth int) {
+	next := make([]byte, len(r.buf), len(r.buf)+growth)
+	copy(next, r.buf)
+	r.buf = next
+}
+
 // parseHeader parses the start line and the header and returns the length of the body.
 func parseHeader(b []byte) (m Message, length int, err error) {
 	text := string(b)
