A caller's connection is not idle while something is owed on it

Cause: a connection counted as idle, and as the first to be evicted, with no set-up open on it; standing calls were not asked for, nor releases that were written and not confirmed, nor messages that wait in the inbox.

Change: closeReason and evictionCandidate ask what is owed on a connection.

--- a/internal/b2bua/announced.go
+++ b/internal/b2bua/announced.go
@@ -35,6 +35,7 @@
 	call.tries = []*routeTry{{call: call, switchID: parsed.adoptedSwitch, state: tryEstablished}}
 	a.calls[call.id] = call
 	a.establishedCalls++
+	a.callers.countEstablished(call, 1)
 	remote := a.switches[parsed.adoptedSwitch]
 	if remote == nil {
 		a.endAnnounced(call)
--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -56,6 +56,8 @@
 	Backlog(conn ConnID) int                      // octets that wait to be written on a connection, 0 if it is closed
 	// Abandoned reports whether the caller has disconnected or cancelled, even if that event is still queued.
 	Abandoned(caller ConnID, callID string) bool
+	// Unhandled reports whether a message has been read on a caller's connection that was not passed to the agent yet.
+	Unhandled(caller ConnID) bool
 	Log(text string) // logs a message for the operator
 	Record(Record)   // logs an entry about a call or a connection
 }
@@ -304,9 +306,11 @@
 	switch {
 	case state == Established:
 		a.establishedCalls++
+		a.callers.countEstablished(call, 1)
 		call.establishedAt = a.now
 	case call.state == Established:
 		a.establishedCalls--
+		a.callers.countEstablished(call, -1)
 	}
 	a.transport.Record(Record{Kind: CallState, CallID: call.callID, Conn: call.callerConnID, Switch: call.lastSwitch(), From: call.state, To: state})
 	call.state = state
--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -12,7 +12,7 @@
 	// message may take to become complete: the platform requires an answer or a close within 3 s.
 	callerMessageTimeout = policy.Tenths(20000)
 
-	// callerIdleTimeout is how long a connection may stay without a message while no set-up is open on it. Callers
+	// callerIdleTimeout is how long a connection may stay without a message while nothing is owed on it. Callers
 	// close their connections after 4 s without a call, so one that stays longer is not in use.
 	callerIdleTimeout = policy.Tenths(100000)
 
@@ -29,6 +29,9 @@
 	setUps        map[uint32]*trackedCall // open on it, by handle
 	setUpSeen     bool                    // a valid set-up came on it
 
+	// Established calls that came on it: set up here, or announced by its caller.
+	ownCalls, announcedCalls int
+
 	// Sequence numbers of the writes on the connection, and how far the caller is known to have read. TCP keeps
 	// the order, so an acknowledgement of an answer proves that everything before it was read.
 	lastSeq         uint64        // of the last answer or release
@@ -82,6 +85,18 @@
 	}
 }
 
+// countEstablished counts a call that is established, or no longer, for the connection on which it came.
+func (cs *callerConns) countEstablished(call *trackedCall, change int) {
+	caller := cs.conns[call.callerConnID]
+	switch {
+	case caller == nil:
+	case call.adopted:
+		caller.announcedCalls += change
+	default:
+		caller.ownCalls += change
+	}
+}
+
 // openSetUps returns the calls whose set-ups are open on the connection, in the order in which they came.
 func (c *callerConn) openSetUps() []*trackedCall {
 	var calls []*trackedCall
@@ -116,28 +131,58 @@
 	return copies
 }
 
-// evictionCandidate selects the connection to close when one more would exceed the limit: the oldest one without any
-// complete message, else the one without an open set-up that has been quiet longest, preferring those whose caller
-// never proved to read. It returns 0 if there is none.
-func (cs *callerConns) evictionCandidate() ConnID {
-	var idle *callerConn
+// owes reports whether something is still to be told on the connection: the answer to a set-up, the release of a call that
+// is established, or one that was written and not confirmed.
+func (c *callerConn) owes() bool {
+	return len(c.setUps) > 0 || c.ownCalls > 0 || c.announcedCalls > 0 || len(c.copies) > 0
+}
+
+// evictionRank orders the connections by how little is lost when they are closed.
+type evictionRank uint8
+
+const (
+	rankSilent         evictionRank = iota // no complete message came on it
+	rankUnproved                           // nothing is established that came on it, and its caller never proved to read
+	rankProved                             // nothing is established that came on it
+	rankAnnouncedCalls                     // only calls are established that its caller announced
+	rankOwnCalls                           // calls are established whose set-ups came on it
+	rankKept                               // an answer is owed on it, or it has sent a message that is not handled yet
+)
+
+// rank returns the rank of the connection for eviction. unhandled reports whether it has sent a message that was not
+// passed to the agent yet.
+func (c *callerConn) rank(unhandled func(ConnID) bool) evictionRank {
+	switch {
+	case len(c.setUps) > 0 || unhandled(c.conn):
+		return rankKept
+	case c.lastMessageAt == 0:
+		return rankSilent
+	case c.ownCalls > 0:
+		return rankOwnCalls
+	case c.announcedCalls > 0:
+		return rankAnnouncedCalls
+	case c.lastProofAt != 0:
+		return rankProved
+	}
+	return rankUnproved
+}
+
+// evictionCandidate selects the connection to close when one more would exceed the limit: of those with the lowest rank the
+// one that has been quiet longest, the oldest of those that sent nothing. It returns 0 if there is none.
+func (cs *callerConns) evictionCandidate(unhandled func(ConnID) bool) ConnID {
+	var candidate *callerConn
+	lowest := rankKept
 	for _, conn := range cs.order {
 		caller := cs.conns[conn]
-		if caller.lastMessageAt == 0 {
-			return conn
-		}
-		if len(caller.setUps) > 0 {
-			continue
-		}
-		readProved, idleProved := caller.lastProofAt != 0, idle != nil && idle.lastProofAt != 0
-		if idle == nil || idleProved && !readProved || idleProved == readProved && caller.lastMessageAt < idle.lastMessageAt {
-			idle = caller
+		rank := caller.rank(unhandled)
+		if rank < lowest || candidate != nil && rank == lowest && caller.lastMessageAt < candidate.lastMessageAt {
+			candidate, lowest = caller, rank
 		}
 	}
-	if idle == nil {
+	if candidate == nil {
 		return 0
 	}
-	return idle.conn
+	return candidate.conn
 }
 
 // closeReason returns why a connection must be closed, "" if it may stay.
@@ -147,7 +192,7 @@
 		return "incomplete message"
 	case c.lastMessageAt == 0 && silentFor(c.openedAt) > callerMessageTimeout:
 		return "no message received"
-	case len(c.setUps) == 0 && c.lastMessageAt != 0 && silentFor(c.lastMessageAt) > callerIdleTimeout:
+	case !c.owes() && c.lastMessageAt != 0 && silentFor(c.lastMessageAt) > callerIdleTimeout:
 		return "idle"
 	}
 	return ""
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -14,7 +14,7 @@
 func (a *Agent) CallerConnected(now policy.Tenths, conn ConnID) bool {
 	a.now = now
 	if len(a.callers.conns) >= a.callers.limit {
-		evicted := a.callers.evictionCandidate()
+		evicted := a.callers.evictionCandidate(a.transport.Unhandled)
 		if evicted == 0 {
 			a.transport.Log("limit of caller connections reached")
 			return false
@@ -102,6 +102,9 @@
 func (a *Agent) closeOverdueCallers() {
 	for _, conn := range slices.Clone(a.callers.order) {
 		caller := a.callers.conns[conn]
+		if a.transport.Unhandled(conn) {
+			continue
+		}
 		if reason := caller.closeReason(a.silentFor); reason != "" {
 			if caller.partialSince != 0 {
 				a.CallerMessageInvalid(a.now, conn, &sip.Message{}, false, reason)
--- a/internal/b2bua/harness_test.go
+++ b/internal/b2bua/harness_test.go
@@ -106,6 +106,7 @@
 	acknowledged          map[ConnID]bool          // callers on these have acknowledged an answer
 	unresponsive          map[ConnID]bool          // callers on these answer no release
 	backlogs              map[ConnID]int           // octets that wait to be written
+	unhandled             map[ConnID]bool          // callers on these have sent a message that is not handled yet
 	nextBody              string                   // added to the description of the next set-up
 	unwritten             map[ConnID]bool          // what is written on these is counted in backlogs
 }
@@ -480,6 +481,7 @@
 	h.dials = append(h.dials, dialRequest{switchID, dialID, address})
 }
 func (h *harness) Abandoned(caller ConnID, callID string) bool { return h.abandonedIDs[callID] }
+func (h *harness) Unhandled(caller ConnID) bool                { return h.unhandled[caller] }
 func (h *harness) Backlog(conn ConnID) int                     { return h.backlogs[conn] }
 func (h *harness) Log(text string)                             { h.logged = append(h.logged, text) }
 
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -34,6 +34,9 @@
 	wake       chan struct{}
 	inputEnded atomic.Bool // the reader has seen the end of the stream
 
+	// unhandledMessages counts the messages that the reader has passed to the event loop, and that it has not handled.
+	unhandledMessages atomic.Int32
+
 	mu               sync.Mutex
 	queue            []byte
 	writing          int           // octets of the write in progress
--- a/internal/platform/readers.go
+++ b/internal/platform/readers.go
@@ -77,6 +77,7 @@
 			if m.Method == sip.Cancel {
 				conn.addCancel(m.CallID)
 			}
+			conn.unhandledMessages.Add(1)
 			if !s.post(event{kind: callerMessage, connID: conn.id, conn: conn, message: m, readAt: s.now()}) {
 				return
 			}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -364,6 +364,7 @@
 			s.agent.CallerDisconnected(now, e.connID)
 		}
 	case callerMessage:
+		e.conn.unhandledMessages.Add(-1)
 		s.agent.FromCaller(now, e.readAt, e.connID, &e.message)
 		if e.message.Method == sip.Cancel {
 			e.conn.removeCancel(e.message.CallID)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -110,5 +110,11 @@
 	return conn == nil || conn.abandoned(callID)
 }
 
+// Unhandled reports whether a message read on a caller's connection is still in the inbox.
+func (t *transport) Unhandled(caller b2bua.ConnID) bool {
+	conn := t.callerConns[caller]
+	return conn != nil && conn.unhandledMessages.Load() > 0
+}
+
 // Log logs a line for operators.
 func (t *transport) Log(text string) { (*Server)(t).warn(text) }
