A switch at the address of another one is told apart from it by its start

Cause: an address was taken for an identity. Answers of the new process counted as signs of life of the old one, and the list's addresses weren't compared.

Connections opened since the start of the switch that started last at an address lead to that one; the other is not dialled, drains to the policy, and ends with its own connections. UpdateSwitches is split.

--- a/internal/b2bua/dial.go
+++ b/internal/b2bua/dial.go
@@ -10,7 +10,7 @@
 // closes the idle connection to another switch that has been quiet longest; the only connection of a switch is
 // closed only if calls or releases wait.
 func (a *Agent) dial(remote *remoteSwitch) {
-	if a.starting || remote.dialing || !remote.mayOpenLink() || a.descriptorsExhausted() && !a.evictIdleLink(remote) {
+	if a.starting || remote.superseded || remote.dialing || !remote.mayOpenLink() || a.descriptorsExhausted() && !a.evictIdleLink(remote) {
 		return
 	}
 	a.lastDialID++
@@ -149,7 +149,7 @@
 	}
 	for _, id := range a.switchOrder {
 		remote := a.switches[id]
-		if remote.entry.Address != address || !a.shouldConnect(remote) {
+		if remote.entry.Address != address || remote.superseded || !a.shouldConnect(remote) {
 			continue
 		}
 		if conn != 0 {
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -55,6 +55,9 @@
 // dialReplacingIdle opens one more connection to a switch. If the switch has the maximum already, the idle one that
 // has been quiet longest is closed first. Silent ones stay: a switch that only hung writes its releases there.
 func (a *Agent) dialReplacingIdle(remote *remoteSwitch) {
+	if remote.superseded {
+		return
+	}
 	if !remote.dialing && remote.usableLinks() >= maxLinksPerSwitch {
 		idle := remote.quietestIdleLink()
 		if idle == nil {
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -63,6 +63,7 @@
 type remoteSwitch struct {
 	entry           board.Switch
 	links           []*switchLink
+	superseded      bool        // another switch listens at its address: no connection to it can be opened
 	waitingTries    []*routeTry // tries that wait for a connection
 	pendingReleases []switchRelease
 	dialing         bool
@@ -217,6 +218,9 @@
 		if len(remote.links) == 0 {
 			remote.awaitRepeats(a.lastDialID)
 		}
+		if len(remote.links) == 0 && remote.superseded { // it has no way left to release its calls
+			a.disconnectCalls(remote, now+1, "another switch listens at the address")
+		}
 		if a.shouldConnect(remote) && now >= remote.nextDialAt && (len(remote.links) == 0 || remote.recoveryDialID != 0) {
 			a.dialReplacingIdle(remote)
 		}
--- a/internal/b2bua/switch_list.go
+++ b/internal/b2bua/switch_list.go
@@ -43,57 +43,86 @@
 func (a *Agent) UpdateSwitches(now policy.Tenths, event board.Event) {
 	a.now = now
 	event.Switches = a.withinSwitchLimit(event)
-	listed := map[uint32]bool{}
-	var list []policy.Switch
-	for _, entry := range event.Switches {
-		listed[entry.ID] = true
-		list = append(list, policy.Switch{ID: entry.ID, Number: entry.Exchange, Ready: entry.State == board.Ready,
-			Draining: entry.State == board.Draining, BootAt: startTime(entry)})
-	}
-	a.decider.ListReceived(now, event.Complete, list)
+	owners := a.addressOwners(event)
+	a.decider.ListReceived(now, event.Complete, a.policyList(event, owners))
 	if event.Complete {
-		for _, id := range slices.Clone(a.switchOrder) {
-			if !listed[id] {
-				a.removeSwitch(a.switches[id])
-			}
-		}
+		a.removeUnlisted(event.Switches)
 	}
 	for _, entry := range event.Switches {
-		remote := a.switches[entry.ID]
-		if entry.State == board.Gone {
-			if remote != nil {
-				remote.entry.State = entry.State
-				a.removeSwitch(remote)
-			}
-			continue
-		}
-		if remote == nil {
-			remote = &remoteSwitch{entry: entry, lastMessageAt: now, nextDialAt: now, unreadFromDial: a.lastDialID + 1}
-			remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
-			a.switches[entry.ID] = remote
-			a.switchOrder = append(a.switchOrder, entry.ID)
-			if !a.listKnown || a.goneSwitches[entry.ID] { // it may have run before under its id
-				remote.overBefore = startTime(entry)
-			}
-		}
-		restarted := startTime(remote.entry) != startTime(entry)
-		moved := remote.entry.Address != entry.Address
-		remote.entry = entry
-		if restarted || moved { // a new process: connections and calls of the previous one are over
-			remote.overBefore = max(remote.overBefore, startTime(entry))
-			remote.dialID, remote.dialing, remote.nextDialAt = 0, false, now
-			a.closeLinks(remote, "the switch restarted", func(link *switchLink) bool { return moved || link.openedAt < startTime(entry) })
-			a.disconnectCalls(remote, startTime(entry), "the switch restarted")
-		}
-		if entry.State == board.Draining {
-			a.endWaitingTries(remote)
+		switch remote := a.switches[entry.ID]; {
+		case entry.State != board.Gone:
+			a.updateSwitch(entry)
+		case remote != nil:
+			a.removeSwitch(remote)
 		}
 	}
+	a.markSuperseded(owners)
 	a.listKnown = a.listKnown || event.Complete
 	a.maintainLinks()
 	a.flushDeferred()
 }
 
+// policyList returns the entries of an event as the policy sees them. To the policy, a switch that has lost its address to
+// another one drains.
+func (a *Agent) policyList(event board.Event, owners map[string]board.Switch) (list []policy.Switch) {
+	add := func(entry board.Switch) {
+		superseded := succeeds(owners[entry.Address], entry)
+		list = append(list, policy.Switch{ID: entry.ID, Number: entry.Exchange, Ready: entry.State == board.Ready && !superseded,
+			Draining: entry.State == board.Draining || entry.State == board.Ready && superseded, BootAt: startTime(entry)})
+	}
+	told := map[uint32]bool{}
+	for _, entry := range event.Switches {
+		told[entry.ID] = true
+		add(entry)
+	}
+	for _, id := range a.switchOrder {
+		remote := a.switches[id]
+		if !event.Complete && !told[id] && succeeds(owners[remote.entry.Address], remote.entry) != remote.superseded {
+			add(remote.entry)
+		}
+	}
+	return list
+}
+
+// removeUnlisted removes the switches that a whole list does not hold.
+func (a *Agent) removeUnlisted(entries []board.Switch) {
+	listed := map[uint32]bool{}
+	for _, entry := range entries {
+		listed[entry.ID] = true
+	}
+	for _, id := range slices.Clone(a.switchOrder) {
+		if !listed[id] {
+			a.removeSwitch(a.switches[id])
+		}
+	}
+}
+
+// updateSwitch adds a switch to the list or updates its entry.
+func (a *Agent) updateSwitch(entry board.Switch) {
+	remote := a.switches[entry.ID]
+	if remote == nil {
+		remote = &remoteSwitch{entry: entry, lastMessageAt: a.now, nextDialAt: a.now, unreadFromDial: a.lastDialID + 1}
+		remote.reconnectPace = reconnect.NewBackoffBetween(a.settings.Policy.Seed^uint64(entry.ID), initialReconnectDelay, maxReconnectDelay)
+		a.switches[entry.ID] = remote
+		a.switchOrder = append(a.switchOrder, entry.ID)
+		if !a.listKnown || a.goneSwitches[entry.ID] { // it may have run before under its id
+			remote.overBefore = startTime(entry)
+		}
+	}
+	restarted := startTime(remote.entry) != startTime(entry)
+	moved := remote.entry.Address != entry.Address
+	remote.entry = entry
+	if restarted || moved { // a new process: connections and calls of the previous one are over
+		remote.overBefore = max(remote.overBefore, startTime(entry))
+		remote.dialID, remote.dialing, remote.nextDialAt = 0, false, a.now
+		a.closeLinks(remote, "the switch restarted", func(link *switchLink) bool { return moved || link.openedAt < startTime(entry) })
+		a.disconnectCalls(remote, startTime(entry), "the switch restarted")
+	}
+	if entry.State == board.Draining {
+		a.endWaitingTries(remote)
+	}
+}
+
 // withinSwitchLimit returns the entries of an event without new switches beyond the limit.
 func (a *Agent) withinSwitchLimit(event board.Event) []board.Switch {
 	isNew := func(entry board.Switch) bool { return a.switches[entry.ID] == nil && entry.State != board.Gone }
--- a/internal/b2bua/try.go
+++ b/internal/b2bua/try.go
@@ -38,7 +38,7 @@
 		return
 	}
 	anyCongested := slices.ContainsFunc(remote.links, func(link *switchLink) bool { return a.congested(link.conn) })
-	if a.dial(remote); !remote.dialing && !anyCongested && (a.descriptorsExhausted() || remote.allLinksSilent()) { // no connection is coming up
+	if a.dial(remote); !remote.dialing && !anyCongested && (a.descriptorsExhausted() || remote.superseded || remote.allLinksSilent()) { // no connection is coming up
 		a.dropTry(try, "no connection can be opened")
 		a.endTry(try, policy.Unreachable)
 	}
