Large messages of all connections together are bounded by the memory limit

Cause: each connection could hold a whole message in the inbox and a buffer of 22 KiB with the next one; nothing bounded their sum.

--- a/cmd/indigodrift/platform_test.go
+++ b/cmd/indigodrift/platform_test.go
@@ -87,7 +87,8 @@
 	boardConns    chan net.Conn // the connections of these subscriptions
 	log           *logBuffer
 	configFile    string
-	memoryMB      int // limit of the controller
+	memoryMB      int // limits of the controller
+	sockets       int
 }
 
 func newPlatformNet(t *testing.T) *platformNet {
@@ -99,7 +100,7 @@
 		t.Cleanup(func() { ln.Close() })
 		return ln
 	}
-	n := &platformNet{t: t, switches: [2]net.Listener{listen(), listen()}, board: listen(), subscriptions: make(chan uint64, 9), boardConns: make(chan net.Conn, 9), memoryMB: 64}
+	n := &platformNet{t: t, switches: [2]net.Listener{listen(), listen()}, board: listen(), subscriptions: make(chan uint64, 9), boardConns: make(chan net.Conn, 9), memoryMB: 64, sockets: 256}
 	reserved := listen()
 	n.listen = reserved.Addr().String()
 	reserved.Close() // each incarnation of the controller listens on this address
@@ -123,11 +124,11 @@
 // start starts a controller process. known are the board's events in JSON, up to the number rev.
 func (n *platformNet) start(rev int, known string) *exec.Cmd {
 	n.t.Helper()
-	file := writeFile(n.t, "config.json", fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"memory_mb":%d,"sockets":256},
+	file := writeFile(n.t, "config.json", fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"memory_mb":%d,"sockets":%d},
 "board":%q,"known":{"rev":%d,"notices":[%s]},"settings":{"family_info":{"self_no":0,"shape":"mesh","release_guard":150.0},
 "grades":[{"name":"voice","aim":1000.0,"deadline":2000.0,"worth":1.0}],
 "policy_limits":{"cancel":true,"dial_timeout":500.0,"max_attempts":4,"retry_after":true,"max_retry_after":2000.0}}}`,
-		n.listen, n.memoryMB, n.board.Addr(), rev, known))
+		n.listen, n.memoryMB, n.sockets, n.board.Addr(), rev, known))
 	cmd := platformProgram(file)
 	n.log, n.configFile = &logBuffer{}, file
 	cmd.Stderr = n.log
--- a/internal/platform/readers.go
+++ b/internal/platform/readers.go
@@ -64,9 +64,9 @@
 
 // readCaller reads a caller's messages until its connection ends.
 func (s *Server) readCaller(conn *connection) {
-	reader := sip.NewReader(conn.netConn)
+	reader := s.newMessageReader(conn, s.largeFromCallers)
+	defer reader.close()
 	reader.OnPartial = func() { s.post(event{kind: callerPartialMessage, connID: conn.id, readAt: s.now()}) }
-	reader.ReadSoon = conn.readSoon
 	for {
 		m, err := reader.Read()
 		switch {
@@ -78,9 +78,10 @@
 				conn.addCancel(m.CallID)
 			}
 			conn.unhandledMessages.Add(1)
-			if !s.post(event{kind: callerMessage, connID: conn.id, conn: conn, message: m, readAt: s.now()}) {
+			if !s.post(event{kind: callerMessage, connID: conn.id, conn: conn, message: m, readAt: s.now(), handled: reader.handledSignal()}) {
 				return
 			}
+			reader.messagePassed()
 			runtime.Gosched() // a peer that sends at full speed must not use up the time slice that others wait for
 			continue
 		case errors.Is(err, sip.ErrMalformed), errors.Is(err, sip.ErrTooLong):
@@ -96,9 +97,9 @@
 
 // readSwitch reads a switch's messages until its connection ends.
 func (s *Server) readSwitch(conn *connection) {
-	reader := sip.NewReader(conn.netConn)
+	reader := s.newMessageReader(conn, s.largeFromSwitches)
+	defer reader.close()
 	reader.OnPartial = func() { s.post(event{kind: switchPartialMessage, connID: conn.id, readAt: s.now()}) }
-	reader.ReadSoon = conn.readSoon
 	for {
 		m, err := reader.Read()
 		switch {
@@ -106,9 +107,10 @@
 			s.post(event{kind: switchDisconnected, connID: conn.id, err: err})
 			return
 		// Messages are passed on also while the connection is being closed, since a release may cross the close.
-		case !s.post(event{kind: switchMessage, connID: conn.id, message: m}):
+		case !s.post(event{kind: switchMessage, connID: conn.id, message: m, handled: reader.handledSignal()}):
 			return
 		}
+		reader.messagePassed()
 		runtime.Gosched() // as in readCaller
 	}
 }
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -74,7 +74,8 @@
 	connID     b2bua.ConnID
 	conn       *connection
 	message    sip.Message
-	readAt     policy.Tenths // when the message, or the first part of it, was read
+	handled    chan<- struct{} // receives a value once a large message has been handled, nil for others
+	readAt     policy.Tenths   // when the message, or the first part of it, was read
 	err        error
 	switchID   uint32
 	dialID     uint32
@@ -85,32 +86,34 @@
 
 // Server is one call controller on the platform.
 type Server struct {
-	config         Config
-	dial           Dialer
-	log            *slog.Logger
-	agent          *b2bua.Agent
-	startTime      time.Time
-	inbox          chan event
-	stopped        chan struct{} // closed after shutdown: no more events are handled
-	runCtx         context.Context
-	cancelRun      context.CancelFunc
-	goroutines     sync.WaitGroup
-	callerSlots    chan struct{} // bounds the caller connections: one entry each
-	switchSlots    chan struct{} // bounds the switch connections: one entry each, from the dial on
-	callerConns    map[b2bua.ConnID]*connection
-	switchConns    map[b2bua.ConnID]*connection
-	mu             sync.Mutex   // guards lastConnID and openConns
-	lastConnID     b2bua.ConnID // last identifier given to a connection
-	openConns      map[*connection]struct{}
-	writeBudget    writeBudget
-	boardAddresses chan string   // new addresses of the notice board
-	boardSlots     chan struct{} // bounds the events of the notice board that wait in the inbox: one entry each
-	listenerClosed chan struct{} // closed once no more connections are accepted
-	lastBoardEvent uint64        // number of the last notice board event
-	boardConnected bool
-	stall          lag.StallDetector
-	stalls         int // stalls since the last summary
-	warningCount   int // warnings since the last summary
+	config      Config
+	dial        Dialer
+	log         *slog.Logger
+	agent       *b2bua.Agent
+	startTime   time.Time
+	inbox       chan event
+	stopped     chan struct{} // closed after shutdown: no more events are handled
+	runCtx      context.Context
+	cancelRun   context.CancelFunc
+	goroutines  sync.WaitGroup
+	callerSlots chan struct{} // bounds the caller connections: one entry each
+	switchSlots chan struct{} // bounds the switch connections: one entry each, from the dial on
+	// Large messages on connections of callers and to switches.
+	largeFromCallers, largeFromSwitches largeMessages
+	callerConns                         map[b2bua.ConnID]*connection
+	switchConns                         map[b2bua.ConnID]*connection
+	mu                                  sync.Mutex   // guards lastConnID and openConns
+	lastConnID                          b2bua.ConnID // last identifier given to a connection
+	openConns                           map[*connection]struct{}
+	writeBudget                         writeBudget
+	boardAddresses                      chan string   // new addresses of the notice board
+	boardSlots                          chan struct{} // bounds the events of the notice board that wait in the inbox: one entry each
+	listenerClosed                      chan struct{} // closed once no more connections are accepted
+	lastBoardEvent                      uint64        // number of the last notice board event
+	boardConnected                      bool
+	stall                               lag.StallDetector
+	stalls                              int // stalls since the last summary
+	warningCount                        int // warnings since the last summary
 	// recordCounts counts the records of each kind since the last summary.
 	recordCounts map[b2bua.RecordKind]int
 	suppressed   int // log lines left out since the last summary
@@ -140,6 +143,7 @@
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
 	memory := config.Limits.MemoryMB << 20
 	s.writeBudget.limit = int64(memory / queueMemoryDivisor)
+	s.largeFromCallers, s.largeFromSwitches = newLargeMessages(memory), newLargeMessages(memory)
 	bounds := b2bua.Bounds{Calls: memory / maxOctetsPerCall, Octets: memory / descriptionMemoryDivisor, Callers: maxCallers, Links: maxLinks, Memory: memory}
 	if maxOpen := config.Settings.MaxOpenCalls; maxOpen > 0 {
 		bounds.Calls = min(bounds.Calls, maxOpen)
@@ -350,6 +354,9 @@
 // handle passes one event on to the agent.
 func (s *Server) handle(e event) {
 	now := s.now()
+	if e.handled != nil {
+		defer func() { e.handled <- struct{}{} }()
+	}
 	switch e.kind {
 	case callerConnected:
 		s.callerConns[e.connID] = e.conn
--- a/internal/sip/fit.go
+++ b/internal/sip/fit.go
@@ -40,8 +40,8 @@
 	if r.ReadSoon == nil || r.err != nil {
 		return false
 	}
-	if cap(r.buf)-len(r.buf) < initialBufferSize/4 {
-		r.enlarge(initialBufferSize)
+	if cap(r.buf)-len(r.buf) < minFreeBuffer {
+		r.moveTo(len(r.buf) + initialBufferSize)
 	}
 	n, err := r.ReadSoon(r.buf[len(r.buf):cap(r.buf)])
 	r.buf, r.err = r.buf[:len(r.buf)+n], err
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -19,7 +19,9 @@
 	maxFields         = 64
 	maxEmptyLines     = 8 // empty lines that are skipped before a message (RFC 3261, section 7.5)
 	initialBufferSize = 2 << 10
-	bufferGrowth      = 4 << 10
+	smallBufferSize   = 4 << 10
+	largeBufferSize   = MaxMessageSize + initialBufferSize
+	minFreeBuffer     = initialBufferSize / 4 // room that is left for a read
 )
 
 // Request methods.
@@ -55,6 +57,7 @@
 var (
 	ErrTooLong   = errors.New("message too long")
 	ErrMalformed = errors.New("malformed message")
+	ErrNoBuffer  = errors.New("no buffer for a large message")
 )
 
 // Field is one header field.
@@ -153,6 +156,10 @@
 	// OnPartial, if set, is called once for each message that is incomplete when the buffered octets are used up.
 	OnPartial func()
 
+	// BeforeLarge, if set, is called before a large buffer is allocated, for a message that does not fit into a small one.
+	// Read returns ErrNoBuffer if it returns false.
+	BeforeLarge func() bool
+
 	// ReadSoon, if set, reads from the stream what is there or arrives within a short time. It returns 0 and no error if
 	// nothing does. With it, a message with a body is checked against the octets that follow it.
 	ReadSoon func([]byte) (int, error)
@@ -160,6 +167,7 @@
 	partialReported bool
 	source          io.Reader
 	buf             []byte // read but not yet parsed
+	large           bool   // buf is a large one
 	err             error  // of the stream, behind buf
 }
 
@@ -228,14 +236,10 @@
 		r.partialReported = true
 		r.OnPartial()
 	}
-	growth := bufferGrowth
-	if len(r.buf) == 0 {
-		growth = initialBufferSize
-	}
-	if cap(r.buf)-len(r.buf) < initialBufferSize/4 {
-		r.enlarge(growth)
-	}
 	n, err := 0, r.err
+	if err == nil && !r.makeRoom() {
+		err = ErrNoBuffer
+	}
 	if err == nil {
 		n, err = r.source.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
@@ -251,13 +255,51 @@
 	return err
 }
 
-// enlarge makes room for more octets in the buffer.
-func (r *Reader) enlarge(growth int) {
-	next := make([]byte, len(r.buf), len(r.buf)+growth)
+// makeRoom makes room for more octets in the buffer. It returns false if a large one is needed and may not be allocated.
+func (r *Reader) makeRoom() bool {
+	if cap(r.buf)-len(r.buf) >= minFreeBuffer {
+		return true
+	}
+	size := largeBufferSize
+	switch {
+	case len(r.buf) == 0:
+		size = initialBufferSize
+	case len(r.buf)+minFreeBuffer <= smallBufferSize:
+		size = smallBufferSize
+	case !r.large:
+		if r.BeforeLarge != nil && !r.BeforeLarge() {
+			return false
+		}
+		r.large = true
+	}
+	r.moveTo(size)
+	return true
+}
+
+// moveTo moves what is read and not yet parsed to a buffer of another size.
+func (r *Reader) moveTo(size int) {
+	next := make([]byte, len(r.buf), max(size, len(r.buf)+minFreeBuffer))
 	copy(next, r.buf)
 	r.buf = next
 }
 
+// Large reports whether the Reader has a large buffer.
+func (r *Reader) Large() bool { return r.large }
+
+// Shrink replaces a large buffer by a small one if what is read and not yet parsed fits, and reports whether it did.
+func (r *Reader) Shrink() bool {
+	if !r.large || len(r.buf)+minFreeBuffer > smallBufferSize {
+		return false
+	}
+	r.large = false
+	if len(r.buf) == 0 {
+		r.buf = nil
+	} else {
+		r.moveTo(smallBufferSize)
+	}
+	return true
+}
+
 // parseHeader parses the start line and the header and returns the length of the body.
 func parseHeader(b []byte) (m Message, length int, err error) {
 	text := string(b)
--- a/internal/sip/sip_test.go
+++ b/internal/sip/sip_test.go
@@ -125,7 +125,7 @@
 	r := NewReader(iotest.HalfReader(bytes.NewReader(in)))
 	for {
 		m, err := r.Read()
-		if len(r.buf) > MaxMessageSize+bufferGrowth {
+		if len(r.buf) > largeBufferSize {
 			t.Fatalf("%d octets buffered", len(r.buf))
 		}
 		if err != nil {
