--- a/internal/platform/large_messages.go
+++ b/internal/platform/large_messages.go
@@ -49,7 +49,6 @@
 
 func (s *Server) newMessageReader(conn *connection, places largeMessages) *messageReader {
 	r := &messageReader{Reader: sip.NewReader(conn.netConn), places: places, stopped: s.stopped}
-	r.ReadSoon = conn.readSoon
 	r.BeforeLarge = func() bool { return places.acquire(conn, s.stopped) }
 	return r
 }
--- a/internal/platform/read_soon.go
+++ b/internal/platform/read_soon.go
@@ -12,6 +12,16 @@
 
 // readSoon reads what has arrived on the connection, or arrives within soonDelay. It returns 0 and no error if nothing did.
 func (c *connection) readSoon(buf []byte) (int, error) {
+	n, err := c.readArrived(buf)
+	if n == 0 && err == nil {
+		time.Sleep(soonDelay)
+		n, err = c.readArrived(buf)
+	}
+	return n, err
+}
+
+// readArrived reads what has arrived on the connection. It returns 0 and no error if nothing has.
+func (c *connection) readArrived(buf []byte) (int, error) {
 	socket, ok := c.netConn.(syscall.Conn)
 	if !ok {
 		return 0, nil
@@ -20,12 +30,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := readAvailable(raw, buf)
-	if n == 0 && err == nil {
-		time.Sleep(soonDelay)
-		n, err = readAvailable(raw, buf)
-	}
-	return n, err
+	return readAvailable(raw, buf)
 }
 
 // readAvailable reads what has arrived on a socket, and waits for nothing.
--- a/internal/platform/readers.go
+++ b/internal/platform/readers.go
@@ -66,6 +66,7 @@
 func (s *Server) readCaller(conn *connection) {
 	reader := s.newMessageReader(conn, s.largeFromCallers)
 	defer reader.close()
+	reader.ReadSoon = conn.readArrived // a set-up does not wait: if its length does not fit, it fails with the octets behind it
 	reader.OnPartial = func() { s.post(event{kind: callerPartialMessage, connID: conn.id, readAt: s.now()}) }
 	for {
 		m, err := reader.Read()
@@ -99,6 +100,7 @@
 func (s *Server) readSwitch(conn *connection) {
 	reader := s.newMessageReader(conn, s.largeFromSwitches)
 	defer reader.close()
+	reader.ReadSoon = conn.readSoon
 	reader.OnPartial = func() { s.post(event{kind: switchPartialMessage, connID: conn.id, readAt: s.now()}) }
 	for {
 		m, err := reader.Read()
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -160,7 +160,7 @@
 	// Read returns ErrNoBuffer if it returns false.
 	BeforeLarge func() bool
 
-	// ReadSoon, if set, reads from the stream what is there or arrives within a short time. It returns 0 and no error if
+	// ReadSoon, if set, reads from the stream what is there, or arrives within a short time. It returns 0 and no error if
 	// nothing does. With it, a message with a body is checked against the octets that follow it.
 	ReadSoon func([]byte) (int, error)
 
