Requests of a connection that its client has closed are not sent on, though unread

Cause: that a caller has left was known only behind all that was unread.

Change: the state of the connection is asked before a set-up is taken or sent on.

--- a/internal/b2bua/abandoned_call_test.go
+++ b/internal/b2bua/abandoned_call_test.go
@@ -78,3 +78,57 @@
 		t.Fatalf("%+v, %d open", call, h.agent.openCalls)
 	}
 }
+
+// Guards against refusing a set-up that crossed the end of its connection and comes again on a new one, and against running one
+// twice that had reached a switch.
+func TestSetUpComesAgainOnlyIfItNeverReachedASwitch(t *testing.T) {
+	for name, tc := range map[string]struct {
+		play   func(h *harness, conn ConnID) *observedCall
+		wanted bool // it is sent on when it comes again
+	}{
+		"its connection had ended before it was handled": {func(h *harness, conn ConnID) *observedCall {
+			h.abandonedIDs[stateCaseID] = true
+			call := h.sendSetUp(conn, 1, 2000)
+			delete(h.abandonedIDs, stateCaseID)
+			h.disconnectCaller(conn)
+			return call
+		}, true},
+		"its connection ended while it waited for one to its switch": {func(h *harness, conn ConnID) *observedCall {
+			h.disconnectLink(h.mustLinkTo(1))
+			call := h.sendSetUp(conn, 1, 2000)
+			h.disconnectCaller(conn)
+			h.completeDials(9, 9)
+			return call
+		}, true},
+		"its connection ended while it was at a switch": {func(h *harness, conn ConnID) *observedCall {
+			call := h.sendSetUp(conn, 1, 2000)
+			h.disconnectCaller(conn)
+			return call
+		}, false},
+		"its connection ended after it was refused": {func(h *harness, conn ConnID) *observedCall {
+			call := h.sendSetUp(conn, 9, 2000)
+			h.disconnectCaller(conn)
+			return call
+		}, false},
+	} {
+		h := newHarness(t)
+		h.completeDials(9, 9)
+		call := tc.play(h, h.connectCaller())
+		setUps := h.setUpsSent(call.id)
+		*call = observedCall{id: call.id, conn: h.connectCaller(), deadline: h.now + 20000, body: call.body}
+		h.agent.FromCaller(h.now, h.now, call.conn, invite(call.id, "voice", 2000, "dest:1;width:1;via:-1", call.body))
+		if sentOn := h.setUpsSent(call.id) > setUps; sentOn != tc.wanted {
+			t.Errorf("%s: sent on %v, the caller received %q", name, sentOn, h.sentTo(call.conn))
+		}
+	}
+}
+
+// setUpsSent returns how many set-ups of a call were sent to switches.
+func (h *harness) setUpsSent(id string) (count int) {
+	for _, sent := range h.sentMessages {
+		if _, isLink := h.links[sent.to]; isLink && sent.message.Method == sip.Invite && sent.message.CallID == id {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -179,7 +179,7 @@
 		a.adoptCall(caller, parsed, msg)
 		return
 	}
-	if a.calls[parsed.id] != nil {
+	if earlier := a.calls[parsed.id]; earlier != nil && !a.mayComeAgain(earlier) {
 		a.rejectMessage(caller.conn, msg, sip.BadRequest, "duplicate call id")
 		return
 	}
@@ -214,6 +214,16 @@
 	a.decider.Offer(a.now, parsed.request)
 }
 
+// mayComeAgain reports whether the id of a call may be used by another set-up: the call ended with the connection of its
+// caller, before it was answered or sent to any switch. Callers send a set-up that crosses the end of a connection again on a
+// new one.
+func (a *Agent) mayComeAgain(call *trackedCall) bool {
+	if call.state != Ended || call.handle == 0 && (call.adopted || call.foreignFrom != 0) || call.reachedSwitch() || call.answerSeq != 0 {
+		return false
+	}
+	return a.callers.conns[call.callerConnID] == nil || a.transport.Abandoned(call.callerConnID, call.callID)
+}
+
 // atCallLimit reports whether one more call would exceed a limit.
 func (a *Agent) atCallLimit(call *trackedCall) bool {
 	return a.openCalls >= a.maxOpenCalls || a.bodyOctets+len(call.body) > a.maxBodyOctets || a.openCalls+a.establishedCalls-a.announced.length >= a.limits.established
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -32,7 +32,7 @@
 	maxQueued  int
 	budget     *writeBudget // of all connections, nil if there is none
 	wake       chan struct{}
-	inputEnded atomic.Bool // the reader has seen the end of the stream
+	inputEnded atomic.Bool // the peer has ended the stream, though octets that came before may be unread
 
 	// unhandledMessages counts the messages that the reader has passed to the event loop, and that it has not handled.
 	unhandledMessages atomic.Int32
@@ -151,11 +151,21 @@
 	delete(c.unhandledCancels, callID)
 }
 
-// abandoned reports whether the peer has closed the connection or cancelled a call, even if the event loop has not seen that.
+// abandoned reports whether the peer has closed the connection or cancelled a call, even if the event loop has not seen that,
+// or the reader has not read so far.
 func (c *connection) abandoned(callID string) bool {
-	if c.inputEnded.Load() {
+	if c.inputEnded.Load() || c.cancelled(callID) {
 		return true
 	}
+	if !peerEnded(c.netConn) {
+		return false
+	}
+	c.inputEnded.Store(true)
+	return true
+}
+
+// cancelled reports whether the peer has cancelled a call, even if the event loop has not seen that.
+func (c *connection) cancelled(callID string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, ok := c.unhandledCancels[callID]
