Test of reload and drain waits until the load report of its switch is read

Trace of a failing run (log level DEBUG): the caller's set-up came 1 ms after the switch's connection, was refused with 503 as no load report had been read, and the switch never saw it. The test took its report for read once it was written.

Change: the test's switch sends an OPTIONS behind the report and waits for the answer. What it asks of the controller is as before.

--- a/cmd/indigodrift/platform_test.go
+++ b/cmd/indigodrift/platform_test.go
@@ -303,6 +303,8 @@
 	defer newBoard.Close()
 	process := env.start(1, fmt.Sprintf(`{"rev":1,"pool":{"reset":true,"instances":[{"cell":1,"hostPort":%q,"instanceId":"s-000000a1","lifecycle":"in_service"}]}}`, env.switches[0].Addr()))
 	sw := env.acceptLink(0)
+	sw.Send(sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: "1", CSeq: 1})
+	sw.Expect("200") // the load report before it has been read: without one a set-up is refused
 	(<-env.boardConns).Close()
 	env.board.Close()
 	config, err := os.ReadFile(env.configFile)
