--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -252,6 +252,9 @@
 	for {
 		select {
 		case e := <-s.inbox:
+			if e.handled != nil {
+				e.handled <- struct{}{}
+			}
 			if finish(e.conn); e.kind == dialFinished && e.conn != nil { // a new connection that nothing reads or writes yet
 				s.removeConn(e.conn)
 			}
