A connection that is not read when another one is lost may carry its releases

A release went down with the earlier of two overlapping connections and its repetition with the newer one, which ended second: the caller was not told.

Cause: whether a connection may carry repeated releases was settled as it opened, before the loss of the earlier one was known. And messages on an older connection that works were taken for a sign that a silent one only hangs, which put the release off until it was closed.

Change: a loss marks the connections that were opened since its last message and are not read. Only such count when they fall silent, and any message that does not come from a silent one starts the delay.

The order "the old one ends first" failed before: released 0 times. The test of a working connection beside the loss passed before too, by the later close.

--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -14,6 +14,11 @@
 	remote.lossUnseen = remote.lossUnseen || end == linkClosedHere
 	remote.silentSinceLoss, remote.linkLostAt = true, a.now
 	remote.nextRecoveryAt = a.now + recoveryInterval
+	for _, other := range remote.links {
+		if !other.openingRead && other.openedAt > link.lastMessageAt {
+			other.carriesRepeats = true
+		}
+	}
 	if remote.lostOpeningAt > link.lastMessageAt { // that connection opened while this one was lost already
 		remote.repeatLost(link.conn, remote.lostOpeningAt, a.now+lostRepeatDelay)
 	}
--- a/internal/b2bua/lost_opening_test.go
+++ b/internal/b2bua/lost_opening_test.go
@@ -64,12 +64,51 @@
 	}
 }
 
+// Guards against the same beside a connection that works: its messages were taken for a sign that the switch only hung, though
+// the next connection stays silent for good.
+func TestReleaseLostBesideAWorkingConnectionIsToldToItsCaller(t *testing.T) {
+	for name, loseOpening := range lostOpenings {
+		h, _, call := establishedCall(t)
+		own := h.mustLinkTo(1)
+		h.agent.switches[1].recoveryDialID = h.agent.lastDialID + 1
+		h.settle(2 * keepaliveInterval)
+		h.disconnectLink(own)
+		loseOpening(h)
+		if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 {
+			t.Errorf("%s: the caller was released %d times", name, call.callerReleases)
+		}
+	}
+}
+
 // Guards against the same where the next connection was opened before the end of the earlier one was noticed.
 func TestReleaseLostWithAnOverlappingConnectionIsToldToItsCaller(t *testing.T) {
-	h, old, _, call := callWithTwoLinks(t)
-	h.disconnectLink(h.linkOrder[len(h.linkOrder)-1])
-	h.disconnectLink(old)
-	if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 {
+	for name, oldFirst := range map[string]bool{"the old one ends first": true, "the new one ends first": false} {
+		h, old, other, call := callWithTwoLinks(t)
+		ends := []ConnID{other, old}
+		if oldFirst {
+			ends = []ConnID{old, other}
+		}
+		for _, conn := range ends {
+			h.disconnectLink(conn)
+		}
+		if h.settle(releaseLimit - maintenanceInterval); call.callerReleases != 1 {
+			t.Errorf("%s: the caller was released %d times", name, call.callerReleases)
+		}
+	}
+}
+
+// Guards against disconnecting calls because a connection that was opened without a loss stays silent.
+func TestCallsStayEstablishedIfAnExtraConnectionIsSilent(t *testing.T) {
+	h, _, call := establishedCall(t)
+	own := h.mustLinkTo(1)
+	h.agent.switches[1].recoveryDialID = h.agent.lastDialID + 1
+	h.settle(2 * keepaliveInterval)
+	h.forgetLink(own)
+	h.agent.SwitchDisconnected(h.now, own, true)
+	h.agent.switches[1].recoveryDialID = h.agent.lastDialID + 1
+	h.advanceTime(maintenanceInterval)
+	h.silent[h.completeDial(false, true)] = true
+	if h.settle(releaseLimit); call.callerReleases != 0 {
 		t.Errorf("the caller was released %d times", call.callerReleases)
 	}
 }
--- a/internal/b2bua/lost_repeat.go
+++ b/internal/b2bua/lost_repeat.go
@@ -24,21 +24,26 @@
 }
 
 // suspectLostRepeat records a connection on which a message is overdue, the first of several.
-func (rs *remoteSwitch) suspectLostRepeat(link *switchLink) {
-	if rs.lostRepeat.openedAt == 0 && !link.openingRead {
-		rs.lostRepeat = lostRepeat{conn: link.conn, openedAt: link.openedAt}
+func (a *Agent) suspectLostRepeat(remote *remoteSwitch, link *switchLink) {
+	if remote.lostRepeat.openedAt == 0 && !link.openingRead && a.mayCarryRepeats(remote, link) {
+		remote.lostRepeat = lostRepeat{conn: link.conn, openedAt: link.openedAt}
 	}
 }
 
+// mayCarryRepeats reports whether the switch may have repeated releases on a connection as it opened: one that was open
+// before is lost, or may be.
+func (a *Agent) mayCarryRepeats(remote *remoteSwitch, link *switchLink) bool {
+	return link.carriesRepeats || slices.ContainsFunc(remote.links, func(other *switchLink) bool {
+		return (other.silent || a.isSuspect(remote, other)) && other.lastMessageAt < link.openedAt
+	})
+}
+
 // openingLost handles the end of a connection before it was known that what the switch wrote as it opened was read.
 func (a *Agent) openingLost(remote *remoteSwitch, link *switchLink, end linkEnd) {
 	if link.openingRead {
 		return
 	}
-	lostEarlier := func(other *switchLink) bool {
-		return (other.silent || a.isSuspect(remote, other)) && other.lastMessageAt < link.openedAt
-	}
-	if !link.carriesRepeats && !slices.ContainsFunc(remote.links, lostEarlier) {
+	if !a.mayCarryRepeats(remote, link) {
 		remote.lostOpeningAt = link.openedAt
 		return
 	}
@@ -59,13 +64,13 @@
 }
 
 // messageOnLink handles a message on a connection. On a connection that was silent it proves that the switch only
-// hung and nothing was lost; on a later connection it starts lostRepeatDelay.
+// hung and nothing was lost; on any other one, that the switch runs, and it starts lostRepeatDelay.
 func (rs *remoteSwitch) messageOnLink(link *switchLink, now policy.Tenths) {
 	suspect := &rs.lostRepeat
 	if suspect.openedAt == 0 {
 		return
 	}
-	onlyHung := link.silent || link.conn == suspect.conn || link.openedAt <= suspect.openedAt
+	onlyHung := link.silent || link.conn == suspect.conn
 	switch {
 	case onlyHung && !suspect.ended:
 		*suspect = lostRepeat{}
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -267,7 +267,7 @@
 		}
 		for _, link := range slices.Clone(remote.links) {
 			if a.isSuspect(remote, link) {
-				remote.suspectLostRepeat(link)
+				a.suspectLostRepeat(remote, link)
 			}
 			idleTime, interval := a.silentFor(link.lastMessageAt), keepaliveInterval
 			if link.openSetUps > 0 {
