New callers are accepted beside connections that never rest

Found on reading the change again.

Change: only a connection whose first message waits is never evicted. One that never rests goes before those with calls if its caller never proved to read, and after them otherwise.

TestNewCallerIsAcceptedBesideConnectionsThatNeverRest failed before.

--- a/internal/b2bua/caller_conn.go
+++ b/internal/b2bua/caller_conn.go
@@ -144,19 +144,26 @@
 	rankSilent         evictionRank = iota // no complete message came on it
 	rankUnproved                           // nothing is established that came on it, and its caller never proved to read
 	rankProved                             // nothing is established that came on it
+	rankBusyUnproved                       // as rankUnproved, and a further message of it is not handled yet
 	rankAnnouncedCalls                     // only calls are established that its caller announced
 	rankOwnCalls                           // calls are established whose set-ups came on it
-	rankKept                               // an answer is owed on it, or it has sent a message that is not handled yet
+	rankBusy                               // a further message is not handled yet, on any other connection
+	rankKept                               // an answer is owed on it, or its first message is not handled yet
 )
 
 // rank returns the rank of the connection for eviction. unhandled reports whether it has sent a message that was not
 // passed to the agent yet.
 func (c *callerConn) rank(unhandled func(ConnID) bool) evictionRank {
+	busy := unhandled(c.conn)
 	switch {
-	case len(c.setUps) > 0 || unhandled(c.conn):
+	case len(c.setUps) > 0 || busy && c.lastMessageAt == 0:
 		return rankKept
 	case c.lastMessageAt == 0:
 		return rankSilent
+	case busy && c.lastProofAt == 0 && c.ownCalls == 0 && c.announcedCalls == 0:
+		return rankBusyUnproved
+	case busy:
+		return rankBusy
 	case c.ownCalls > 0:
 		return rankOwnCalls
 	case c.announcedCalls > 0:
--- a/internal/b2bua/caller_conn_test.go
+++ b/internal/b2bua/caller_conn_test.go
@@ -93,6 +93,30 @@
 	}
 }
 
+// Guards against refusing new callers because connections that send at full speed always have a message in the inbox.
+func TestNewCallerIsAcceptedBesideConnectionsThatNeverRest(t *testing.T) {
+	h, owesRelease, _ := establishedCall(t)
+	h.unhandled = map[ConnID]bool{}
+	var busy []ConnID
+	for len(h.agent.callers.conns) < h.agent.callers.limit {
+		conn := h.connectCaller()
+		h.agent.FromCaller(h.now, h.now, conn, &sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: "1", CSeq: 1})
+		busy, h.unhandled[conn] = append(busy, conn), true
+	}
+	for _, want := range busy {
+		conn := h.newConn()
+		if h.unhandled[conn] = true; !h.agent.CallerConnected(h.now, conn) || h.closed[want] == "" {
+			t.Errorf("not accepted in the place of %d: closed %v", want, h.closed)
+		}
+	}
+	if h.unhandled[owesRelease] = true; h.closed[owesRelease] != "" {
+		t.Error("the connection of an established call was closed")
+	}
+	if conn := h.newConn(); !h.agent.CallerConnected(h.now, conn) || h.closed[owesRelease] == "" {
+		t.Error("not accepted although only first messages of others are unhandled")
+	}
+}
+
 // Guards against closing a connection whose set-up has been read and waits for its turn.
 func TestConnectionWithAnUnhandledSetUpIsNotClosed(t *testing.T) {
 	h := newHarness(t)
