A connection to a switch that is closed here is held until its switch ends it too

What was written on a connection that we close in good order counted as read and told at once: a release that the switch wrote before it saw the close, and ours if it was evicted for its descriptor. And one that its switch ended in order before a keepalive was answered counted as unread after it, so that a later loss could cut calls without need.

An end in order marks what was written as read. evictIdleLink records ends as all others do (dropLink), instead of a copy of its own.

--- a/internal/b2bua/b2bua.go
+++ b/internal/b2bua/b2bua.go
@@ -167,9 +167,9 @@
 	listKnown        bool            // a whole list has been received
 	goneSwitches     map[uint32]bool // ids that were listed and are not, which a switch may use again
 	switchOfLink     map[ConnID]uint32
-	dialAddresses    map[uint32]string // of dials in progress, by dial ID
-	starting         bool              // during start-up, when nothing is dialled yet
-	closingLinks     map[ConnID]uint32 // connections to switches that were closed locally and may still deliver releases
+	dialAddresses    map[uint32]string      // of dials in progress, by dial ID
+	starting         bool                   // during start-up, when nothing is dialled yet
+	closingLinks     map[ConnID]closingLink // connections to switches that were closed locally and may still deliver releases
 	callers          callerConns
 	callerReleases   releaseQueue
 	switchReleases   switchReleaseCounts
@@ -202,7 +202,7 @@
 		switches:        map[uint32]*remoteSwitch{},
 		goneSwitches:    map[uint32]bool{},
 		switchOfLink:    map[ConnID]uint32{},
-		closingLinks:    map[ConnID]uint32{},
+		closingLinks:    map[ConnID]closingLink{},
 		dialAddresses:   map[uint32]string{},
 		callers:         newCallerConns(bounds.Callers),
 		callerReleases:  newReleaseQueue(),
@@ -433,8 +433,8 @@
 // switchMessageAfterClose handles a message that arrived while its connection was being closed locally. Releases still
 // count, and a call that was answered is established at its switch.
 func (a *Agent) switchMessageAfterClose(conn ConnID, msg *sip.Message) {
-	switchID, ok := a.closingLinks[conn]
-	remote := a.switches[switchID]
+	closing, ok := a.closingLinks[conn]
+	remote := a.switches[closing.switchID]
 	switch {
 	case !ok || remote == nil:
 		return
--- a/internal/b2bua/dial.go
+++ b/internal/b2bua/dial.go
@@ -1,10 +1,6 @@
 package b2bua
 
-import (
-	"slices"
-
-	"indigodrift/policy"
-)
+import "indigodrift/policy"
 
 // dial opens one more connection, unless a dial is in progress. When all descriptors for switches are in use, it
 // closes the idle connection to another switch that has been quiet longest; the only connection of a switch is
@@ -32,20 +28,10 @@
 		return false
 	}
 	other := a.switches[a.switchOfLink[link.conn]]
-	delete(a.switchOfLink, link.conn)
-	a.closingLinks[link.conn] = other.entry.ID
-	other.links = slices.DeleteFunc(other.links, func(open *switchLink) bool { return open == link })
-	other.nextDialAt = a.now + other.reconnectPace.NextDelay()
-	if link.healthy() {
-		a.setSent(link, nil)
-	} else {
-		a.openingLost(other, link, linkClosedHere)
-		a.linkLost(other, link, linkClosedHere)
-	}
-	if len(other.links) == 0 {
-		other.awaitRepeats(a.lastDialID)
-	}
 	a.transport.Close(link.conn, "descriptor needed for another switch")
+	a.dropLink(other, link, link.endIfClosed())
+	a.closingLinks[link.conn] = closingLink{other.entry.ID, link, link.endIfClosed()}
+	other.nextDialAt = a.now + other.reconnectPace.NextDelay()
 	return true
 }
 
@@ -152,10 +138,11 @@
 		if remote.entry.Address != address || remote.superseded || !a.shouldConnect(remote) {
 			continue
 		}
+		opened := a.newLink(remote, conn)
 		if conn != 0 {
-			a.closingLinks[conn] = id
+			a.closingLinks[conn] = closingLink{id, opened, linkClosedInOrder}
 		} else {
-			a.openingLost(remote, a.newLink(remote, 0), linkReset)
+			a.openingLost(remote, opened, linkReset)
 		}
 		remote.recoveryDialID = a.lastDialID + 1
 		a.dialReplacingIdle(remote)
--- a/internal/b2bua/keepalive.go
+++ b/internal/b2bua/keepalive.go
@@ -63,10 +63,7 @@
 	a.setSent(link, slices.DeleteFunc(link.sentReleases, func(sent sentRelease) bool { return sent.sentAt < link.keepaliveSentAt }))
 	remote.roundTrip = max(a.now-link.keepaliveSentAt, remote.roundTrip-remote.roundTrip/8)
 	remote.roundTripMeasured, link.keepaliveID = true, ""
-	link.openingRead = true
-	if link.dialID >= remote.unreadFromDial {
-		remote.unreadFromDial = 0
-	}
+	remote.markOpeningRead(link)
 }
 
 // sendKeepalive sends a keepalive on a connection.
@@ -85,9 +82,9 @@
 		a.endWaitingTries(remote)
 	}
 	if link.lastSetUpAt >= link.lastMessageAt && link.lastSetUpAt != 0 || link.silent {
-		a.closeLink(remote, link, "keepalive timeout", false)
+		a.closeLink(remote, link, "keepalive timeout", linkGivenUp)
 		return
 	}
 	link.silent = true
-	a.linkLost(remote, link, linkClosedHere)
+	a.linkLost(remote, link, linkGivenUp)
 }
--- a/internal/b2bua/link_recovery.go
+++ b/internal/b2bua/link_recovery.go
@@ -11,7 +11,7 @@
 	a.requeueReleases(remote, link)
 	remote.recoveryDialID = a.lastDialID + 1
 	remote.unreadFromDial = remote.recoveryDialID
-	remote.lossUnseen = remote.lossUnseen || end == linkClosedHere
+	remote.lossUnseen = remote.lossUnseen || end == linkGivenUp
 	remote.silentSinceLoss, remote.linkLostAt = true, a.now
 	remote.nextRecoveryAt = a.now + recoveryInterval
 	for _, other := range remote.links {
@@ -68,7 +68,7 @@
 		if idle == nil {
 			return
 		}
-		a.closeLink(remote, idle, "replaced by a new connection to this switch", idle.healthy())
+		a.closeLink(remote, idle, "replaced by a new connection to this switch", idle.endIfClosed())
 	}
 	a.dial(remote)
 }
@@ -93,13 +93,21 @@
 	return l.openingRead && l.unansweredSince == 0
 }
 
+// endIfClosed returns how the connection ends if it is closed now.
+func (l *switchLink) endIfClosed() linkEnd {
+	if l.healthy() {
+		return linkClosedInOrder
+	}
+	return linkGivenUp
+}
+
 // closeSurplusLink closes one connection of a switch that has more than the maximum, after silent ones have come back.
 func (a *Agent) closeSurplusLink(remote *remoteSwitch) {
 	if remote.usableLinks() <= maxLinksPerSwitch {
 		return
 	}
 	if idle := remote.quietestIdleLink(); idle != nil && idle.healthy() {
-		a.closeLink(remote, idle, "more connections than needed", true)
+		a.closeLink(remote, idle, "more connections than needed", linkClosedInOrder)
 	}
 }
 
--- a/internal/b2bua/lost_repeat.go
+++ b/internal/b2bua/lost_repeat.go
@@ -54,6 +54,17 @@
 	remote.repeatLost(link.conn, link.openedAt, dueAt)
 }
 
+// markOpeningRead records that what the switch wrote as a connection opened was read.
+func (rs *remoteSwitch) markOpeningRead(link *switchLink) {
+	link.openingRead = true
+	if link.dialID >= rs.unreadFromDial {
+		rs.unreadFromDial = 0
+	}
+	if suspect := &rs.lostRepeat; suspect.conn == link.conn && !suspect.ended {
+		*suspect = lostRepeat{}
+	}
+}
+
 // repeatLost records that what a switch repeated on a connection that has ended may be lost.
 func (rs *remoteSwitch) repeatLost(conn ConnID, openedAt, dueAt policy.Tenths) {
 	suspect := &rs.lostRepeat
--- a/internal/b2bua/remote_switch.go
+++ b/internal/b2bua/remote_switch.go
@@ -163,101 +163,6 @@
 	}
 }
 
-// SwitchDisconnected handles the end of a connection to a switch. The set-ups open on it may have been carried out.
-// graceful means that the switch closed the connection and everything that it wrote was read; otherwise its last
-// messages may be lost.
-func (a *Agent) SwitchDisconnected(now policy.Tenths, conn ConnID, graceful bool) {
-	a.now = now
-	end := linkReset
-	if graceful {
-		end = linkEndedInOrder
-	}
-	a.linkEnded(conn, end)
-}
-
-// linkEnd is how a connection to a switch ended.
-type linkEnd uint8
-
-const (
-	linkEndedInOrder linkEnd = iota // everything that the switch wrote was read
-	linkReset                       // by the switch or the network: its last messages may be lost
-	linkClosedHere                  // the same, and the switch may still believe it to be open
-)
-
-// linkEnded handles the end of a connection to a switch.
-func (a *Agent) linkEnded(conn ConnID, end linkEnd) {
-	now := a.now
-	delete(a.closingLinks, conn)
-	switchID, ok := a.switchOfLink[conn]
-	if !ok {
-		return
-	}
-	delete(a.switchOfLink, conn)
-	if remote := a.switches[switchID]; remote != nil {
-		link := remote.findLink(conn)
-		if link != nil {
-			if remote.shortLinks++; now-link.openedAt >= minLinkLifetime {
-				remote.shortLinks = 0
-			}
-			a.requeueReleases(remote, link)
-		}
-		remote.links = slices.DeleteFunc(remote.links, func(other *switchLink) bool { return other == link })
-		remote.reconnectPace.Down(now)
-		remote.nextDialAt = now
-		if remote.shortLinks > maxShortLinks || link != nil && !link.messageSeen {
-			remote.nextDialAt = now + min(remote.reconnectPace.NextDelay(), maxShortLinkDelay)
-		}
-		if end != linkEndedInOrder && link != nil {
-			a.openingLost(remote, link, end)
-		}
-		if end != linkEndedInOrder && link != nil && !link.silent {
-			a.linkLost(remote, link, end)
-		} else if remote.nextRecoveryAt == 0 && remote.linkLostAt != 0 && now-remote.linkLostAt < linkLossRetention {
-			remote.nextRecoveryAt = now + recoveryInterval
-		}
-		if len(remote.links) == 0 {
-			remote.awaitRepeats(a.lastDialID)
-		}
-		if len(remote.links) == 0 && remote.superseded { // it has no way left to release its calls
-			a.disconnectCalls(remote, now+1, "another switch listens at the address")
-		}
-		if a.shouldConnect(remote) && now >= remote.nextDialAt && (len(remote.links) == 0 || remote.recoveryDialID != 0) {
-			a.dialReplacingIdle(remote)
-		}
-	}
-	lostCalls := a.matchingCalls(func(call *trackedCall) bool {
-		return call.state == Trying && call.lastTry().state == trySent && call.lastTry().conn == conn
-	})
-	a.transport.Record(Record{Kind: SwitchConnEnded, Conn: conn, Switch: switchID, Reason: fmt.Sprintf("%d open set-ups", len(lostCalls))})
-	for _, call := range lostCalls {
-		a.tryCounts.Lost++
-		a.advance(call.lastTry(), eventAbandon, "connection ended")
-		a.endTry(call.lastTry(), policy.Disconnected)
-	}
-	a.flushDeferred()
-}
-
-// closeLinks closes the connections to a switch that match.
-func (a *Agent) closeLinks(remote *remoteSwitch, reason string, match func(*switchLink) bool) {
-	for _, link := range slices.Clone(remote.links) {
-		if match(link) {
-			a.closeLink(remote, link, reason, false)
-		}
-	}
-}
-
-// closeLink closes a connection to a switch. graceful means that the connection works, and messages that cross the
-// close are still read.
-func (a *Agent) closeLink(remote *remoteSwitch, link *switchLink, reason string, graceful bool) {
-	end := linkClosedHere
-	if graceful {
-		end = linkEndedInOrder
-	}
-	a.transport.Close(link.conn, reason)
-	a.linkEnded(link.conn, end)
-	a.closingLinks[link.conn] = remote.entry.ID
-}
-
 // maintainLinks maintains the connections to all switches.
 func (a *Agent) maintainLinks() {
 	for _, id := range a.switchOrder {
@@ -275,7 +180,7 @@
 			}
 			switch {
 			case link.partialSince != 0 && a.silentFor(link.partialSince) > switchMessageTimeout:
-				a.closeLink(remote, link, "incomplete message", false)
+				a.closeLink(remote, link, "incomplete message", linkGivenUp)
 			case a.unansweredFor(link) > remote.keepaliveTimeout():
 				a.handleKeepaliveTimeout(remote, link)
 			case link.unansweredSince == 0 && idleTime > interval:
--- a/internal/b2bua/route_try_test.go
+++ b/internal/b2bua/route_try_test.go
@@ -42,7 +42,7 @@
 		"a closing connection": func(h *harness, call *observedCall) ConnID {
 			h.agent.dial(h.agent.switches[1])
 			conn := h.completeDial(false, true)
-			h.agent.closeLink(h.agent.switches[1], h.agent.switches[1].findLink(conn), "test", true)
+			h.agent.closeLink(h.agent.switches[1], h.agent.switches[1].findLink(conn), "test", linkClosedInOrder)
 			return conn
 		},
 	} {
@@ -238,7 +238,7 @@
 	call := h.sendSetUp(h.connectCaller(), 1, 500)
 	remote := h.agent.switches[1]
 	conn := call.tryConn
-	h.agent.closeLink(remote, remote.findLink(conn), "test", false)
+	h.agent.closeLink(remote, remote.findLink(conn), "test", linkGivenUp)
 	h.agent.flushDeferred()
 	h.completeDials(10, 10)
 	h.agent.FromSwitch(h.now, conn, &sip.Message{Status: sip.OK, CallID: call.id, CSeq: 1, CSeqMethod: sip.Invite, Body: []byte("late")})
