A release to a switch is repeated after a stall of this process as well

A BYE that was written on a connection which ended more than 3.3 s later, with no keepalive answered since, was not written again: time alone counted as the sign that it had arrived. Found on reading the change again; it takes a stall of this process between the two.

Change: what is remembered for a lost connection is written again, whatever its age; answered keepalives and the bound of 16,384 remove it before.

TestReleaseToASwitchIsRepeatedAfterAStall failed before: released 1 times.

--- a/internal/b2bua/link_end_test.go
+++ b/internal/b2bua/link_end_test.go
@@ -136,3 +136,17 @@
 	h.forgetLink(conn)
 	h.agent.SwitchDisconnected(h.now, conn, true)
 }
+
+// Guards against a release to a switch that counts as read because this process did not run for a while after it was written.
+func TestReleaseToASwitchIsRepeatedAfterAStall(t *testing.T) {
+	h, conn, call := establishedCall(t)
+	h.settle(keepaliveInterval)
+	call.callerEnded = true
+	h.agent.FromCaller(h.now, h.now, conn, h.newRelease(call.id, 16))
+	call.establishedAt = 1 // it has not read the release
+	h.now += 2 * releaseLossWindow
+	h.disconnectLink(h.mustLinkTo(1))
+	if h.settle(keepaliveInterval); call.switchReleases != 2 {
+		t.Errorf("the switch was released %d times", call.switchReleases)
+	}
+}
--- a/internal/b2bua/switch_release_queue.go
+++ b/internal/b2bua/switch_release_queue.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// releaseLossWindow is how long the end of a connection may mean that a BYE written on it was not read, unless a later
-	// keepalive was answered. It is the time until a silent connection is detected. Switches need not answer a BYE.
+	// releaseLossWindow is how long a BYE that was written on a connection is remembered at least, unless a later keepalive is
+	// answered. Within it, a silent connection is detected. Switches need not answer a BYE.
 	releaseLossWindow = keepaliveInterval + maxKeepaliveTimeout + maxStallAllowance
 
 	maxSentReleases    = 16384 // remembered for all connections, to be repeated if one of them is lost
@@ -135,10 +135,10 @@
 	a.setPending(remote, slices.Delete(remote.pendingReleases, 0, written))
 }
 
-// requeueReleases queues the releases written recently on a lost connection for the next one.
+// requeueReleases queues the releases remembered for a lost connection for the next one.
 func (a *Agent) requeueReleases(remote *remoteSwitch, link *switchLink) {
 	for _, sent := range link.sentReleases {
-		if a.now-sent.sentAt <= releaseLossWindow && !a.activeAt(remote, sent.release.callID) {
+		if !a.activeAt(remote, sent.release.callID) {
 			a.queueRelease(remote, sent.release)
 		}
 	}
