The state of a TCP connection is read in one place, and less is done for each message

A connection keeps its socket instead of asking for it with each set-up and answer, a body is searched for start lines only if it holds the version at all, and mayComeAgain asks no handle.

--- a/internal/b2bua/callers.go
+++ b/internal/b2bua/callers.go
@@ -218,7 +218,7 @@
 // caller, before it was answered or sent to any switch. Callers send a set-up that crosses the end of a connection again on a
 // new one.
 func (a *Agent) mayComeAgain(call *trackedCall) bool {
-	if call.state != Ended || call.handle == 0 && (call.adopted || call.foreignFrom != 0) || call.reachedSwitch() || call.answerSeq != 0 {
+	if call.state != Ended || call.adopted || call.foreignFrom != 0 || call.reachedSwitch() || call.answerSeq != 0 {
 		return false
 	}
 	return a.callers.conns[call.callerConnID] == nil || a.transport.Abandoned(call.callerConnID, call.callID)
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"indigodrift/internal/tcpstate"
 )
 
 const (
@@ -272,21 +272,8 @@
 
 // PeerClosed reports whether the peer of a TCP connection has closed it, even if input is still unread.
 func PeerClosed(c net.Conn) bool {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := true
-	err = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			closed = info.State != unix.BPF_TCP_ESTABLISHED
-		}
-	})
-	return closed || err != nil
+	_, ok := c.(*net.TCPConn)
+	return ok && tcpstate.Of(tcpstate.Raw(c)) != tcpstate.Established
 }
 
 // maxQueuedReads bounds the reads that are queued in one direction of a connection; beyond it the sender is held back.
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -6,10 +6,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"indigodrift/internal/b2bua"
 	"indigodrift/internal/sip"
+	"indigodrift/internal/tcpstate"
 )
 
 const (
@@ -29,6 +31,7 @@
 type connection struct {
 	id         b2bua.ConnID
 	netConn    net.Conn
+	socket     syscall.RawConn // of netConn, nil if it has none
 	maxQueued  int
 	budget     *writeBudget // of all connections, nil if there is none
 	wake       chan struct{}
@@ -56,7 +59,7 @@
 }
 
 func newConnection(id b2bua.ConnID, netConn net.Conn, maxQueued int) *connection {
-	return &connection{id: id, netConn: netConn, maxQueued: maxQueued, wake: make(chan struct{}, 1)}
+	return &connection{id: id, netConn: netConn, socket: tcpstate.Raw(netConn), maxQueued: maxQueued, wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a message. A CANCEL removes its set-up from the queue if that is not written yet: the try would begin long after
@@ -157,7 +160,7 @@
 	if c.inputEnded.Load() || c.cancelled(callID) {
 		return true
 	}
-	if !peerEnded(c.netConn) {
+	if !tcpstate.Of(c.socket).EndedByPeer() {
 		return false
 	}
 	c.inputEnded.Store(true)
--- a/internal/platform/read_soon.go
+++ b/internal/platform/read_soon.go
@@ -22,20 +22,12 @@
 
 // readArrived reads what has arrived on the connection. It returns 0 and no error if nothing has.
 func (c *connection) readArrived(buf []byte) (int, error) {
-	socket, ok := c.netConn.(syscall.Conn)
-	if !ok {
+	if c.socket == nil {
 		return 0, nil
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	return readAvailable(raw, buf)
-}
-
-// readAvailable reads what has arrived on a socket, and waits for nothing.
-func readAvailable(raw syscall.RawConn, buf []byte) (n int, err error) {
-	controlErr := raw.Read(func(fd uintptr) bool {
+	var n int
+	var err error
+	controlErr := c.socket.Read(func(fd uintptr) bool {
 		n, err = syscall.Read(int(fd), buf)
 		return true
 	})
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -86,34 +86,35 @@
 
 // Server is one call controller on the platform.
 type Server struct {
-	config      Config
-	dial        Dialer
-	log         *slog.Logger
-	agent       *b2bua.Agent
-	startTime   time.Time
-	inbox       chan event
-	stopped     chan struct{} // closed after shutdown: no more events are handled
-	runCtx      context.Context
-	cancelRun   context.CancelFunc
-	goroutines  sync.WaitGroup
-	callerSlots chan struct{} // bounds the caller connections: one entry each
-	switchSlots chan struct{} // bounds the switch connections: one entry each, from the dial on
-	// Large messages on connections of callers and to switches.
-	largeFromCallers, largeFromSwitches largeMessages
-	callerConns                         map[b2bua.ConnID]*connection
-	switchConns                         map[b2bua.ConnID]*connection
-	mu                                  sync.Mutex   // guards lastConnID and openConns
-	lastConnID                          b2bua.ConnID // last identifier given to a connection
-	openConns                           map[*connection]struct{}
-	writeBudget                         writeBudget
-	boardAddresses                      chan string   // new addresses of the notice board
-	boardSlots                          chan struct{} // bounds the events of the notice board that wait in the inbox: one entry each
-	listenerClosed                      chan struct{} // closed once no more connections are accepted
-	lastBoardEvent                      uint64        // number of the last notice board event
-	boardConnected                      bool
-	stall                               lag.StallDetector
-	stalls                              int // stalls since the last summary
-	warningCount                        int // warnings since the last summary
+	config         Config
+	dial           Dialer
+	log            *slog.Logger
+	agent          *b2bua.Agent
+	startTime      time.Time
+	inbox          chan event
+	stopped        chan struct{} // closed after shutdown: no more events are handled
+	runCtx         context.Context
+	cancelRun      context.CancelFunc
+	goroutines     sync.WaitGroup
+	callerSlots    chan struct{} // bounds the caller connections: one entry each
+	switchSlots    chan struct{} // bounds the switch connections: one entry each, from the dial on
+	callerConns    map[b2bua.ConnID]*connection
+	switchConns    map[b2bua.ConnID]*connection
+	mu             sync.Mutex   // guards lastConnID and openConns
+	lastConnID     b2bua.ConnID // last identifier given to a connection
+	openConns      map[*connection]struct{}
+	writeBudget    writeBudget
+	boardAddresses chan string   // new addresses of the notice board
+	boardSlots     chan struct{} // bounds the events of the notice board that wait in the inbox: one entry each
+	listenerClosed chan struct{} // closed once no more connections are accepted
+	lastBoardEvent uint64        // number of the last notice board event
+	boardConnected bool
+	stall          lag.StallDetector
+	stalls         int // stalls since the last summary
+	warningCount   int // warnings since the last summary
+
+	largeFromCallers, largeFromSwitches largeMessages // by the kind of the connection
+
 	// recordCounts counts the records of each kind since the last summary.
 	recordCounts map[b2bua.RecordKind]int
 	suppressed   int // log lines left out since the last summary
--- a/internal/sip/fit.go
+++ b/internal/sip/fit.go
@@ -19,10 +19,8 @@
 // checkFit checks that the length of a message with a body fits. A length that is too small leaves the rest of the body
 // where the next message has to begin; one that is too large takes in the beginning of the next message.
 func (r *Reader) checkFit(body []byte) error {
-	for line := range bytes.Lines(body) {
-		if startsMessage(bytes.TrimRight(line, "\r\n")) {
-			return fmt.Errorf("%w: the body holds the start line %.40q", ErrMalformed, line)
-		}
+	if line := startLineIn(body); line != nil {
+		return fmt.Errorf("%w: the body holds the start line %.40q", ErrMalformed, line)
 	}
 	for range maxSoonReads {
 		if bytes.IndexByte(r.buf, '\n') >= 0 || !r.fillSoon() {
@@ -35,6 +33,19 @@
 	return nil
 }
 
+// startLineIn returns the first start line that a body holds, nil if there is none.
+func startLineIn(body []byte) []byte {
+	if !bytes.Contains(body, []byte(version)) { // almost always
+		return nil
+	}
+	for line := range bytes.Lines(body) {
+		if line = bytes.TrimRight(line, "\r\n"); startsMessage(line) {
+			return line
+		}
+	}
+	return nil
+}
+
 // fillSoon reads what arrives soon. It returns false if nothing did.
 func (r *Reader) fillSoon() bool {
 	if r.ReadSoon == nil || r.err != nil {
