--- a/internal/b2bua/bounded_state_test.go
+++ b/internal/b2bua/bounded_state_test.go
@@ -204,3 +204,23 @@
 		t.Errorf("held %+v after a new connection", h.agent.switchReleases)
 	}
 }
+
+// Guards against ids of switches that have gone which are held without end, as each event may list new ones.
+func TestIDsOfSwitchesThatHaveGoneAreBounded(t *testing.T) {
+	h := newSmallHarness(t)
+	for id := uint32(1000); id < 1000+3*minLimitOfHeldEntries; id++ {
+		entry := board.Switch{ID: id, Exchange: 5, Address: "10.9.0.1:1"}
+		h.updateSwitches(false, entry)
+		entry.State = board.Gone
+		h.updateSwitches(false, entry)
+		if held := len(h.agent.goneSwitches); held > minLimitOfHeldEntries {
+			t.Fatalf("%d ids are held", held)
+		}
+	}
+	last := uint32(1000 + 3*minLimitOfHeldEntries - 1)
+	startedMS := int64(h.now) / 10
+	h.updateSwitches(false, board.Switch{ID: last, Exchange: 5, Address: "10.9.0.1:1", StartedMS: startedMS}, board.Switch{ID: 9999, Exchange: 5, Address: "10.9.0.2:1", StartedMS: startedMS})
+	if h.agent.switches[last].overBefore != h.now || h.agent.switches[9999].overBefore != 0 {
+		t.Errorf("calls before %d are over at one that came back, before %d at a new one", h.agent.switches[last].overBefore, h.agent.switches[9999].overBefore)
+	}
+}
--- a/internal/platform/readers.go
+++ b/internal/platform/readers.go
@@ -87,8 +87,9 @@
 			continue
 		case errors.Is(err, sip.ErrMalformed), errors.Is(err, sip.ErrTooLong):
 			s.post(event{kind: callerMalformed, connID: conn.id, message: m, err: err})
-			// Discards further input until the answer is written and the connection closed.
-			io.Copy(io.Discard, conn.netConn) //nolint:errcheck // only the end of the stream matters
+			discardInput(conn)
+		case errors.Is(err, sip.ErrNoBuffer): // the connection is being closed
+			discardInput(conn)
 		}
 		conn.inputEnded.Store(true)
 		s.post(event{kind: callerDisconnected, connID: conn.id, err: err})
@@ -96,6 +97,11 @@
 	}
 }
 
+// discardInput discards further input until the answer is written and the connection closed.
+func discardInput(conn *connection) {
+	io.Copy(io.Discard, conn.netConn) //nolint:errcheck // only the end of the stream matters
+}
+
 // readSwitch reads a switch's messages until its connection ends.
 func (s *Server) readSwitch(conn *connection) {
 	reader := s.newMessageReader(conn, s.largeFromSwitches)
