Tests of floods, crowds and loopback share their start and their clients

A flooding client that can't connect now tries again instead of ending. Checks and bounds are as before.

--- a/cmd/indigodrift/crowd_test.go
+++ b/cmd/indigodrift/crowd_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"strings"
 	"sync"
@@ -69,18 +68,16 @@
 func TestCrowdsHarmNoOtherCaller(t *testing.T) {
 	for _, c := range crowds() {
 		t.Run(c.name, func(t *testing.T) {
-			env := newPlatformNet(t)
-			env.memoryMB, env.sockets = floodMemoryMB, crowdSockets
-			process := env.start(1, knownSwitches(env.switches[0].Addr().String()))
-			go answerSetUps(env.switches[0])
-			time.Sleep(100 * time.Millisecond) // the load report of the switch is read
+			env, process := startUnderFlood(t, crowdSockets)
 			usual := env.caller()
 			placeCalls(t, usual, 50*time.Millisecond) // a call of it stands
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
 			var written atomic.Uint64
 			for range crowdClients {
-				clients.Go(func() { c.run(env.listen, &written, stop) })
+				clients.Go(func() {
+					connectAgainAndAgain(env.listen, stop, func(conn net.Conn) { c.runOn(conn, &written, stop) })
+				})
 			}
 			peakKB := &atomic.Int64{}
 			go samplePeak(process, peakKB, stop)
@@ -95,32 +92,10 @@
 	}
 }
 
-// run connects again and again until stop is closed.
-func (c *crowd) run(address string, written *atomic.Uint64, stop <-chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err == nil {
-			c.runOn(conn, written, stop)
-		}
-	}
-}
-
 // runOn writes the pieces on a connection, and reads what comes, until it ends or stop is closed.
 func (c *crowd) runOn(conn net.Conn, written *atomic.Uint64, stop <-chan struct{}) {
-	closed := make(chan struct{})
-	go func() {
-		io.Copy(io.Discard, conn)
-		close(closed)
-	}()
-	defer func() {
-		conn.Close()
-		<-closed
-	}()
+	closed, finish := discardInput(conn)
+	defer finish()
 	for again := true; again; again = c.fullRate {
 		for _, piece := range c.pieces {
 			conn.SetWriteDeadline(time.Now().Add(time.Second))
--- a/cmd/indigodrift/flood_test.go
+++ b/cmd/indigodrift/flood_test.go
@@ -85,16 +85,22 @@
 func TestFloodsHarmNoOtherCaller(t *testing.T) {
 	for _, f := range floods {
 		t.Run(f.name, func(t *testing.T) {
-			env := newPlatformNet(t)
-			env.memoryMB = floodMemoryMB
-			process := env.start(1, knownSwitches(env.switches[0].Addr().String()))
-			go answerSetUps(env.switches[0])
-			time.Sleep(100 * time.Millisecond) // the load report of the switch is read
+			env, process := startUnderFlood(t, defaultSockets)
 			env.checkUnderFlood(process, floodClients, func(n int, sent *atomic.Uint64, stop <-chan struct{}) { f.run(env.listen, uint64(n+1)<<32, sent, stop) })
 		})
 	}
 }
 
+// startUnderFlood starts a controller with the smallest memory, and a switch that answers its set-ups.
+func startUnderFlood(t *testing.T, sockets int) (*platformNet, *exec.Cmd) {
+	env := newPlatformNet(t)
+	env.memoryMB, env.sockets = floodMemoryMB, sockets
+	process := env.start(1, knownSwitches(env.switches[0].Addr().String()))
+	go answerSetUps(env.switches[0])
+	time.Sleep(100 * time.Millisecond) // the load report of the switch is read
+	return env, process
+}
+
 // switchFloods are what a faulty switch sends at full speed on its connection.
 var switchFloods = []flood{
 	{name: "releases of unknown calls", messages: func(id string) []sip.Message { return []sip.Message{siptest.Release(id, 16)} }},
@@ -199,31 +205,41 @@
 
 // run sends messages, with ids from first on, until stop is closed.
 func (f *flood) run(address string, first uint64, sent *atomic.Uint64, stop <-chan struct{}) {
-	for next := first; ; {
+	next := first
+	connectAgainAndAgain(address, stop, func(conn net.Conn) { next = f.runOn(conn, next, sent, stop) })
+}
+
+// connectAgainAndAgain runs a client on one connection after the other until stop is closed.
+func connectAgainAndAgain(address string, stop <-chan struct{}, run func(net.Conn)) {
+	for {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			return
+		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+			run(conn)
 		}
-		next = f.runOn(conn, next, sent, stop)
 	}
 }
 
-// runOn sends messages on one connection until it ends or stop is closed, and returns the next id.
-func (f *flood) runOn(conn net.Conn, next uint64, sent *atomic.Uint64, stop <-chan struct{}) uint64 {
-	closed := make(chan struct{})
+// discardInput reads a connection and discards what comes. closed is closed at its end; finish ends it.
+func discardInput(conn net.Conn) (closed <-chan struct{}, finish func()) {
+	ended := make(chan struct{})
 	go func() {
 		io.Copy(io.Discard, conn)
-		close(closed)
+		close(ended)
 	}()
-	defer func() {
+	return ended, func() {
 		conn.Close()
-		<-closed
-	}()
+		<-ended
+	}
+}
+
+// runOn sends messages on one connection until it ends or stop is closed, and returns the next id.
+func (f *flood) runOn(conn net.Conn, next uint64, sent *atomic.Uint64, stop <-chan struct{}) uint64 {
+	closed, finish := discardInput(conn)
+	defer finish()
 	var batch []byte
 	for {
 		select {
--- a/cmd/indigodrift/full_speed_test.go
+++ b/cmd/indigodrift/full_speed_test.go
@@ -66,11 +66,7 @@
 func TestOneClientAtFullSpeedDelaysNoOther(t *testing.T) {
 	for _, f := range fullSpeedFloods {
 		t.Run(f.name, func(t *testing.T) {
-			env := newPlatformNet(t)
-			env.memoryMB = floodMemoryMB
-			process := env.start(1, knownSwitches(env.switches[0].Addr().String()))
-			go answerSetUps(env.switches[0])
-			time.Sleep(100 * time.Millisecond) // the load report of the switch is read
+			env, process := startUnderFlood(t, defaultSockets)
 			stop, secondHalf := make(chan struct{}), make(chan struct{})
 			var flooding, usual sync.WaitGroup
 			var sent atomic.Uint64
--- a/cmd/indigodrift/platform_test.go
+++ b/cmd/indigodrift/platform_test.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// defaultSockets is the limit of descriptors of a controller where a test sets no other.
+const defaultSockets = 256
+
 // platformNet is the environment of one call controller on loopback: two switches, a notice board and callers.
 type platformNet struct {
 	t             *testing.T
@@ -100,7 +103,7 @@
 		t.Cleanup(func() { ln.Close() })
 		return ln
 	}
-	n := &platformNet{t: t, switches: [2]net.Listener{listen(), listen()}, board: listen(), subscriptions: make(chan uint64, 9), boardConns: make(chan net.Conn, 9), memoryMB: 64, sockets: 256}
+	n := &platformNet{t: t, switches: [2]net.Listener{listen(), listen()}, board: listen(), subscriptions: make(chan uint64, 9), boardConns: make(chan net.Conn, 9), memoryMB: 64, sockets: defaultSockets}
 	reserved := listen()
 	n.listen = reserved.Addr().String()
 	reserved.Close() // each incarnation of the controller listens on this address
--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -141,35 +141,55 @@
 	conn.Close()
 }
 
-// A switch resets its connection during a set-up and stops listening. Its established call must be released, the call being set
-// up must get one final answer, and the shutdown must not hang.
-func TestSwitchThatResetsAndStopsListening(t *testing.T) {
-	ln, switchListener, boardListener := listenOnLoopback(t), listenOnLoopback(t), listenOnLoopback(t)
-	defer boardListener.Close()
-	shutDown := runOnLoopback(t, ln, switchListener.Addr().String(), boardListener.Addr().String())
-	c, err := switchListener.Accept()
-	if err != nil {
+// loopbackNet is a running controller with a connected switch, whose load report it has read, and a connected caller.
+type loopbackNet struct {
+	switchListener net.Listener
+	switchConn     net.Conn
+	sw, caller     *siptest.Peer
+	shutDown       func()
+}
+
+func serveOnLoopback(t *testing.T) *loopbackNet {
+	ln, boardListener := listenOnLoopback(t), listenOnLoopback(t)
+	n := &loopbackNet{switchListener: listenOnLoopback(t)}
+	shutDown := runOnLoopback(t, ln, n.switchListener.Addr().String(), boardListener.Addr().String())
+	var err error
+	if n.switchConn, err = n.switchListener.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	sw := siptest.New(t, c)
-	sw.Send(siptest.LoadReport(20, 20))
+	n.sw = siptest.New(t, n.switchConn)
+	n.sw.Send(siptest.LoadReport(20, 20))
 	time.Sleep(50 * time.Millisecond)
-	conn, err := net.Dial("tcp", ln.Addr().String())
+	callerConn, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	caller := siptest.New(t, conn)
+	n.caller = siptest.New(t, callerConn)
+	n.shutDown = func() {
+		shutDown()
+		callerConn.Close()
+		n.switchListener.Close()
+		boardListener.Close()
+	}
+	return n
+}
+
+// A switch resets its connection during a set-up and stops listening. Its established call must be released, the call being set
+// up must get one final answer, and the shutdown must not hang.
+func TestSwitchThatResetsAndStopsListening(t *testing.T) {
+	n := serveOnLoopback(t)
+	sw, caller := n.sw, n.caller
 	caller.Send(setUp(callID1, 3000))
 	sw.Answer(sw.Expect(sip.Invite), "answer")
 	caller.Expect("200")
 	caller.Send(setUp(callID2, 3000))
 	sw.Expect(sip.Ack)
 	sw.Expect(sip.Invite)
-	switchListener.Close()
-	if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+	n.switchListener.Close()
+	if err := n.switchConn.(*net.TCPConn).SetLinger(0); err != nil {
 		t.Fatal(err)
 	}
-	c.Close()
+	n.switchConn.Close()
 	received := map[string]int{}
 	for len(received) < 2 {
 		got, ok := caller.Receive(3 * time.Second)
@@ -183,8 +203,7 @@
 			received["refusal of the second"]++
 		}
 	}
-	shutDown()
-	conn.Close()
+	n.shutDown()
 }
 
 // Guards against an answer that is passed on cut, or with octets of another one, because its length does not fit: as it
@@ -205,22 +224,8 @@
 }
 
 func expectAnswerNotPassedOn(t *testing.T, spoil func(answer string) string, inPieces bool) {
-	ln, switchListener, boardListener := listenOnLoopback(t), listenOnLoopback(t), listenOnLoopback(t)
-	defer boardListener.Close()
-	defer switchListener.Close()
-	shutDown := runOnLoopback(t, ln, switchListener.Addr().String(), boardListener.Addr().String())
-	switchConn, err := switchListener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	sw := siptest.New(t, switchConn)
-	sw.Send(siptest.LoadReport(20, 20))
-	time.Sleep(50 * time.Millisecond)
-	conn, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	caller := siptest.New(t, conn)
+	n := serveOnLoopback(t)
+	sw, caller := n.sw, n.caller
 	caller.Send(setUp(callID1, 1000))
 	request := sw.Expect(sip.Invite)
 	answer := request.Response(sip.OK)
@@ -235,6 +240,5 @@
 	if got, ok := caller.Receive(3 * time.Second); !ok || got.Status == sip.OK {
 		t.Errorf("the caller received %d %q", got.Status, got.Body)
 	}
-	conn.Close()
-	shutDown()
+	n.shutDown()
 }
